Gangs wait whole for booting machines; work in proportion to what changed

Change: a gang with a part on booting machines is not placed but keeps its room; images being fetched share a machine's rate in the score; a booting machine costs its expected time, not 1000. Machines and running tasks are shown to the planner from kept views, alike tasks are placed from a heap, steps are paced by a counted cost, direct commands of a takeover go to the silent few at a time, changes that nobody waits for share a write, tries rise only with repeats.

--- a/internal/dispatch/catalogue.go
+++ b/internal/dispatch/catalogue.go
@@ -53,6 +53,9 @@
 	for _, t := range types {
 		d.types[t.Name] = t
 	}
+	for _, m := range d.roster {
+		m.viewStale = true // prices
+	}
 	d.onTypes(types)
 }
 
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"cmp"
 	"log/slog"
 	"net/http"
 	"slices"
 
+	"postpoint/internal/clock"
 	"postpoint/internal/leadership"
 	"postpoint/internal/ledger"
 	"postpoint/internal/protocol"
@@ -27,17 +29,20 @@
 		return
 	}
 	var dirty []*job
-	for _, j := range inOrder(d.jobs) {
+	for _, j := range d.jobs {
 		if j.reread {
 			d.readAgain(j)
-		} else if !j.flight && j.changed != j.durable {
+		} else if !j.flight && j.changed != j.durable && d.now() >= j.dirtyAt+d.patience(j) {
 			dirty = append(dirty, j)
 		}
 	}
 	if len(dirty) == 0 {
 		return
 	}
-	slices.SortStableFunc(dirty, func(a, b *job) int { return protocol.RankOf(a.Spec.Rank) - protocol.RankOf(b.Spec.Rank) })
+	slices.SortFunc(dirty, func(a, b *job) int {
+		return cmp.Or(protocol.RankOf(a.Spec.Rank)-protocol.RankOf(b.Spec.Rank), cmp.Compare(d.urgency(a), d.urgency(b)),
+			cmp.Compare(a.dirtyAt, b.dirtyAt), cmp.Compare(a.Spec.ID, b.Spec.ID))
+	})
 	t := protocol.Txn{Guards: []protocol.Guard{{Key: leadership.Key, Version: d.term.Epoch}}}
 	var writes []write
 	size := 0
@@ -53,6 +58,9 @@
 		writes = append(writes, write{j, j.changed})
 		j.flight = true
 	}
+	for _, w := range writes {
+		w.j.dirtyAt = d.now()
+	}
 	d.committing = true
 	epoch := d.term.Epoch
 	d.store.Commit(statestore.ForLeader, t, func(r statestore.Reply[protocol.TxnAnswer]) {
@@ -65,6 +73,30 @@
 	})
 }
 
+// urgency orders the changes of one rank: what a whole job waits for, then
+// starts, then ends of some tasks among many.
+func (d *Dispatch) urgency(j *job) int {
+	switch {
+	case j.Final() || j.Spec.Gang() || len(j.fresh) > 0 && len(j.fresh) == len(j.Placed):
+		return 0
+	case len(j.fresh) > 0:
+		return 1
+	}
+	return 2
+}
+
+// patience is how long a change may wait for others of its record: each write
+// costs a part of the state service's budget however much it changes, and the
+// ends of single tasks, that nobody waits for, come one by one.
+func (d *Dispatch) patience(j *job) clock.Micros {
+	if d.urgency(j) == 2 {
+		return endsTime
+	}
+	return 0
+}
+
+const endsTime = 700 * clock.Millisecond
+
 func (d *Dispatch) committed(writes []write, r statestore.Reply[protocol.TxnAnswer]) {
 	for _, w := range writes {
 		w.j.flight = false
@@ -74,11 +106,16 @@
 		touched := map[string]*machine{}
 		for _, w := range writes {
 			w.j.version, w.j.durable = r.Value.Revision, w.changed
-			for _, p := range w.j.Placed {
-				if m := d.machines[p.Machine]; m != nil {
+			w.j.fresh = slices.DeleteFunc(w.j.fresh, func(task int) bool {
+				p, placed := w.j.Placed[task]
+				if placed && !w.j.committed(p) {
+					return false
+				}
+				if m := d.machines[p.Machine]; placed && m != nil {
 					touched[m.name] = m
 				}
-			}
+				return true
+			})
 		}
 		for _, m := range inOrder(touched) {
 			d.pushOrders(m)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"postpoint/internal/fleet"
 	"postpoint/internal/leadership"
 	"postpoint/internal/ledger"
+	"postpoint/internal/planner"
 	"postpoint/internal/protocol"
 	"postpoint/internal/settings"
 	"postpoint/internal/statestore"
@@ -41,6 +42,9 @@
 	// As leader.
 	jobs     map[string]*job
 	machines map[string]*machine
+	// roster are the machines in the order of their names: it is replaced, never
+	// changed, so that it can be gone through while machines come and go.
+	roster []*machine
 	// retired are the last versions of jobs that are over, until following has
 	// caught up with them: an older version that still comes is not news.
 	retired    map[string]int64
@@ -49,6 +53,7 @@
 	loaded     bool
 	freshAt    clock.Micros // everything in the records before this is known
 	waking     bool
+	nextStep   clock.Micros // not before, see stepCost
 	committing bool
 	pauseUntil clock.Micros // after a refusal of the state service
 	renting    fleetState
@@ -96,10 +101,18 @@
 	reread  bool // the record must be read before anything else happens
 	reading bool
 	stash   *protocol.Event // what was followed during a flight
+	// dirtyAt is since when the content differs from the record.
+	dirtyAt clock.Micros
 
 	// proposed holds, for each placement, the count of changes at its proposal:
 	// it is in the record once the durable count has reached that.
 	proposed map[int]int
+	// fresh are the tasks whose placements aren't in the record yet.
+	fresh []int
+	// running is what the planner is shown, kept until a placement changes.
+	running      []planner.Running
+	runningSince []clock.Micros
+	runningStale bool
 	// spoilt is a gang's try that can't be completed any more.
 	spoilt     int64
 	failures   int
@@ -119,7 +132,15 @@
 func (j *job) committed(p ledger.Placement) bool { return j.proposed[p.Task] <= j.durable }
 
 func (j *job) clean() bool { return !j.flight && !j.reread && j.changed == j.durable }
-func (j *job) touch()      { j.changed++ }
+
+// touch notes a change of the content.
+func (d *Dispatch) touch(j *job) {
+	if j.changed == j.durable {
+		j.dirtyAt = d.now()
+	}
+	j.changed++
+	j.runningStale = true
+}
 
 // taskRef is a try of a task.
 type taskRef struct {
@@ -133,7 +154,10 @@
 	name, addr, typ, zone string
 	spot                  bool
 
-	seen                  bool // a report was heard in this term
+	seen bool // a report was heard in this term
+	// settled tells that every placed task stood in the last report and none of
+	// them had ended: the same report again is no news.
+	settled               bool
 	shift, counter, epoch int64
 	tasks                 map[taskRef]protocol.TaskReport
 	since                 map[taskRef]clock.Micros // when a task was first seen running
@@ -150,7 +174,15 @@
 	status    string
 
 	placed map[string]map[int]ledger.Placement // by job
-	sent   map[taskRef]*sent
+	// view is the machine as the planner is shown it, kept until anything that
+	// it depends on changes.
+	view      planner.Machine
+	viewStale bool
+	strange   bool // something of unknown size runs there
+	// pullGB was still to be fetched at pulledAt.
+	pullGB   float64
+	pulledAt clock.Micros
+	sent     map[taskRef]*sent
 	// calling is a direct command on its way; callAgain asks for another.
 	calling, callAgain bool
 	syncedAt           clock.Micros // when the last empty command was sent
@@ -211,7 +243,7 @@
 		switch {
 		case t.Epoch == before:
 		case t.Epoch == 0:
-			d.jobs, d.machines, d.loaded = nil, nil, false
+			d.jobs, d.machines, d.roster, d.loaded = nil, nil, nil, false
 		default:
 			d.begin()
 		}
@@ -253,7 +285,7 @@
 // begin takes over: records first, then every machine's own word.
 func (d *Dispatch) begin() {
 	slog.Info("taking over", "epoch", d.term.Epoch)
-	d.jobs, d.machines, d.gone = map[string]*job{}, map[string]*machine{}, map[string]bool{}
+	d.jobs, d.machines, d.roster, d.gone = map[string]*job{}, map[string]*machine{}, nil, map[string]bool{}
 	d.unreadable, d.retired = map[string]bool{}, map[string]int64{}
 	d.loaded, d.committing, d.waking, d.shared = false, false, false, false
 	d.freshAt = 0
@@ -287,9 +319,6 @@
 		d.freshAt = began
 		if first {
 			slog.Info("records read", "epoch", epoch, "open_jobs", len(d.jobs), "took_ms", (d.now()-began)/clock.Millisecond)
-			for _, m := range inOrder(d.machines) {
-				d.pushOrders(m)
-			}
 		}
 		d.wake()
 		d.follow(epoch, revision)
@@ -353,7 +382,7 @@
 			return
 		}
 		d.noteClass(&content.Spec)
-		j = &job{avoid: map[string]bool{}, stops: map[int]stop{}, proposed: map[int]int{}}
+		j = &job{avoid: map[string]bool{}, stops: map[int]stop{}, proposed: map[int]int{}, runningStale: true}
 		d.jobs[id] = j
 	} else {
 		d.unplaceAll(j)
@@ -361,17 +390,20 @@
 	j.Job, j.version, j.reread = content, version, false
 	j.changed++
 	j.durable = j.changed
+	j.runningStale = true
 	clear(j.proposed)
+	j.fresh = nil
 	if content.Status == protocol.StatusCancelled && j.cancelSeen == 0 {
 		j.cancelSeen = d.now()
 		slog.Debug("job cancelled", "job", id, "placed", len(content.Placed))
 	}
+	on := map[string]*machine{}
 	for _, p := range content.Placed {
-		d.index(j, p)
+		on[p.Machine] = d.index(j, p)
 	}
 	// What the machines last said still counts for what the record just said.
-	for _, m := range inOrder(d.machines) {
-		if m.placed[id] != nil && m.seen {
+	for _, m := range inOrder(on) {
+		if m.seen {
 			d.reconcile(m)
 			if j.Final() {
 				d.pushOrders(m)
@@ -390,20 +422,23 @@
 }
 
 // index notes a placement at its machine.
-func (d *Dispatch) index(j *job, p ledger.Placement) {
+func (d *Dispatch) index(j *job, p ledger.Placement) *machine {
 	m := d.machine(p.Machine)
+	m.viewStale, m.settled = true, false
 	if m.placed[j.Spec.ID] == nil {
 		m.placed[j.Spec.ID] = map[int]ledger.Placement{}
 	}
 	m.placed[j.Spec.ID][p.Task] = p
+	return m
 }
 
 // place decides a placement; it counts from now and acts once it is durable.
 func (d *Dispatch) place(j *job, p ledger.Placement) {
 	j.Placed[p.Task] = p
 	d.index(j, p)
-	j.touch()
+	d.touch(j)
 	j.proposed[p.Task] = j.changed
+	j.fresh = append(j.fresh, p.Task)
 }
 
 // unplace frees a place, which only proof allows: see docs/rules.md.
@@ -412,7 +447,11 @@
 	delete(j.stops, p.Task)
 	delete(j.proposed, p.Task)
 	d.unindex(j, p)
-	j.touch()
+	d.touch(j)
+	if !j.Done.Has(p.Task) {
+		// It is to run again, under another try than any before.
+		j.NextTry = max(j.NextTry, p.Try+1)
+	}
 	d.wake()
 }
 
@@ -421,6 +460,7 @@
 	if m == nil {
 		return
 	}
+	m.viewStale = true
 	delete(m.placed[j.Spec.ID], p.Task)
 	if len(m.placed[j.Spec.ID]) == 0 {
 		delete(m.placed, j.Spec.ID)
@@ -449,8 +489,10 @@
 	if m == nil {
 		m = &machine{name: name, addr: d.addresses[name], firstSeen: d.now(), idleSince: d.now(),
 			tasks: map[taskRef]protocol.TaskReport{}, since: map[taskRef]clock.Micros{},
-			placed: map[string]map[int]ledger.Placement{}, sent: map[taskRef]*sent{}, faults: map[string]bool{}}
+			placed: map[string]map[int]ledger.Placement{}, sent: map[taskRef]*sent{}, faults: map[string]bool{}, viewStale: true}
 		d.machines[name] = m
+		at, _ := slices.BinarySearchFunc(d.roster, name, func(x *machine, name string) int { return cmp.Compare(x.name, name) })
+		d.roster = slices.Insert(slices.Clone(d.roster), at, m)
 	}
 	return m
 }
@@ -471,12 +513,33 @@
 		return
 	}
 	d.waking = true
-	d.inTerm(wakeDelay, func() {
+	d.inTerm(max(wakeDelay, d.nextStep-d.now()), func() {
 		d.waking = false
 		d.step()
 	})
 }
 
+// stepCost is what a step is taken to cost, for a pause after it that leaves the
+// processor to beats, renewals and users: a leader that plans without a break at
+// a tenth of a core is late for everything else. Each part is counted rather
+// than timed, so that the same events always lead to the same decisions.
+func (d *Dispatch) stepCost() clock.Micros {
+	placed := 0
+	for _, j := range d.jobs {
+		placed += len(j.Placed)
+	}
+	return clock.Micros(len(d.roster)*machineCost + len(d.jobs)*jobCost + placed*placedCost)
+}
+
+// What one of each adds to a step, in microseconds, and the part of the
+// processor that steps may take.
+const (
+	machineCost = 1
+	jobCost     = 5
+	placedCost  = 1
+	stepShare   = 0.25
+)
+
 func (d *Dispatch) tick() {
 	d.mailbox.After(tickTime, d.tick)
 	if d.term.Epoch == 0 {
@@ -508,7 +571,7 @@
 func (d *Dispatch) deaf() bool {
 	since := d.term.ElectedAt
 	known := 0
-	for _, m := range d.machines {
+	for _, m := range d.roster {
 		if len(m.placed) > 0 {
 			known++
 		}
@@ -523,6 +586,9 @@
 	}
 	d.schedule()
 	d.commit()
+	if cpu := d.set.Deployment.MachineLimits.CPU; cpu > 0 {
+		d.nextStep = d.now() + clock.Micros(float64(d.stepCost())/(min(cpu, 1)*stepShare))
+	}
 }
 
 // logState tells an operator once in a while what is queued and where.
@@ -539,7 +605,7 @@
 		placed += len(j.Placed)
 	}
 	idle := 0
-	for _, m := range inOrder(d.machines) {
+	for _, m := range d.roster {
 		kinds[m.typ]++
 		if len(m.placed) == 0 {
 			idle++
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 
 	"postpoint/internal/clock"
 	"postpoint/internal/cloud"
@@ -35,7 +36,16 @@
 func (d *Dispatch) expire() {
 	now := d.now()
 	w := d.set.Deployment.Workers
-	for _, m := range inOrder(d.machines) {
+	for _, j := range inOrder(d.jobs) {
+		// A cancelled task must be gone in time: if the worker answers but
+		// doesn't stop it, the machine goes.
+		if j.cancelSeen != 0 && now > j.cancelSeen+w.Lease()+3*clock.Second {
+			for _, p := range inOrder(j.Placed) {
+				d.release(d.machine(p.Machine), "cancelled tasks don't end")
+			}
+		}
+	}
+	for _, m := range d.roster {
 		if m.releasing {
 			continue
 		}
@@ -53,13 +63,7 @@
 			}
 			clear(m.tasks)
 			clear(m.since)
-		}
-		for id, tasks := range inOrder(m.placed) {
-			// A cancelled task must be gone in time: if the worker answers but
-			// doesn't stop it, the machine goes.
-			if j := d.jobs[id]; j != nil && j.cancelSeen != 0 && len(tasks) > 0 && now > j.cancelSeen+w.Lease()+3*clock.Second {
-				d.release(m, "cancelled tasks don't end")
-			}
+			m.viewStale = true
 		}
 		boot := clock.FromSeconds(d.types[m.typ].BootS)
 		switch {
@@ -79,7 +83,7 @@
 
 // drain saves what runs on machines that the cloud will take.
 func (d *Dispatch) drain() {
-	for _, m := range inOrder(d.machines) {
+	for _, m := range d.roster {
 		if m.recallAt == 0 {
 			continue
 		}
@@ -108,6 +112,7 @@
 			return
 		}
 		j.stops[t] = stop{grace: j.Spec.SaveS + 1, why: why}
+		j.runningStale = true
 		slog.Debug("stopping task", "job", j.Spec.ID, "task", t, "machine", p.Machine, "why", why, "for", forID)
 		if m := d.machines[p.Machine]; m != nil {
 			d.pushOrders(m)
@@ -122,21 +127,37 @@
 	}
 }
 
-// remind repeats by direct command what can't wait for the next report.
+// remind repeats by direct command what can't wait for the next report: ends of
+// cancelled tasks, and this term's epoch for machines that haven't come by
+// themselves, a few at a time.
 func (d *Dispatch) remind() {
-	for _, m := range inOrder(d.machines) {
-		over := false
-		for id := range m.placed {
-			if j := d.jobs[id]; j != nil && j.Final() {
-				over = true
+	for _, j := range inOrder(d.jobs) {
+		if !j.Final() {
+			continue
+		}
+		for _, p := range inOrder(j.Placed) {
+			if m := d.machines[p.Machine]; m != nil && !m.releasing {
+				d.pushOrders(m)
 			}
 		}
-		if (over || !d.synced(m)) && !m.releasing && m.status != protocol.MachineStarting {
+	}
+	now := d.now()
+	due := now - d.set.Deployment.Workers.Report()*3/2 - clock.Second
+	left := remindAtOnce
+	for _, m := range d.roster {
+		if left > 0 && !d.synced(m) && !m.releasing && !m.calling && m.status != protocol.MachineStarting &&
+			max(m.heardAt, d.term.ElectedAt) < due && now >= m.syncedAt+remindTime {
+			left--
 			d.pushOrders(m)
 		}
 	}
 }
 
+const (
+	remindAtOnce = 8
+	remindTime   = 2 * clock.Second
+)
+
 // manageFleet lists, returns idle machines and carries on with releases.
 func (d *Dispatch) manageFleet() {
 	now := d.now()
@@ -147,7 +168,7 @@
 		d.listMachines()
 	}
 	market := d.market()
-	for _, m := range inOrder(d.machines) {
+	for _, m := range d.roster {
 		if !m.seen || m.releasing || len(m.placed) > 0 || d.busy(m) {
 			continue
 		}
@@ -223,7 +244,7 @@
 			slog.Info("rented", "type", k.Type, "zone", k.Zone, "spot", k.Spot, "asked", r.Count, "machines", a.Machines)
 			for _, name := range a.Machines {
 				m := d.machine(name)
-				m.typ, m.zone, m.spot = k.Type, k.Zone, k.Spot
+				m.typ, m.zone, m.spot, m.viewStale = k.Type, k.Zone, k.Spot, true
 				if m.status == "" {
 					m.status = protocol.MachineStarting
 				}
@@ -263,7 +284,7 @@
 		return
 	}
 	var names []string
-	for _, m := range inOrder(d.machines) {
+	for _, m := range d.roster {
 		if m.releasing && len(names) < cloud.ReleaseSize {
 			names = append(names, m.name)
 		}
@@ -295,6 +316,7 @@
 			delete(d.addresses, name)
 			d.gone[name] = true
 		}
+		d.roster = slices.DeleteFunc(slices.Clone(d.roster), func(m *machine) bool { return d.gone[m.name] })
 		d.wake()
 	})
 }
@@ -348,14 +370,13 @@
 		m.firstSeen -= clock.FromSeconds(x.AgeS)
 	}
 	if !m.seen {
-		m.typ, m.zone, m.spot = x.Type, x.Zone, x.Spot
+		m.typ, m.zone, m.spot, m.viewStale = x.Type, x.Zone, x.Spot, true
 		m.addr = x.Address
 	}
 	if was := m.status; was != x.Status {
 		m.status = x.Status
 		if x.Status == protocol.MachineRunning && !m.seen {
 			m.firstSeen = max(m.firstSeen, d.now()-clock.FromSeconds(d.types[m.typ].BootS))
-			d.pushOrders(m)
 		}
 	}
 }
@@ -365,7 +386,7 @@
 // own first listing counts; the release is what proves them gone.
 func (d *Dispatch) missing(listed map[string]bool, began clock.Micros) {
 	lag := 2*clock.FromSeconds(d.set.Deployment.Cloud.ListLagS) + clock.Second
-	for _, m := range inOrder(d.machines) {
+	for _, m := range d.roster {
 		if m.listed && !listed[m.name] && began > m.listedAt+lag && !d.lively(m) {
 			d.release(m, "no longer listed")
 		}
--- a/internal/dispatch/overview.go
+++ b/internal/dispatch/overview.go
@@ -66,7 +66,7 @@
 	}
 	kinds := map[string]*KindOverview{}
 	refused := d.market().Refused
-	for _, m := range inOrder(d.machines) {
+	for _, m := range d.roster {
 		key := m.typ + " " + m.zone
 		if m.spot {
 			key += " spot"
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -33,6 +33,7 @@
 		m.pace = 1
 	}
 	m.paced++
+	m.viewStale = true
 	m.pace += machineWeight * (against - m.pace)
 }
 
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -74,6 +74,10 @@
 	if !m.seen || r.Shift > m.shift {
 		m.shiftAt = d.now()
 	}
+	same := m.settled && r.Shift == m.shift && r.Epoch == m.epoch && m.sameTasks(r.Tasks)
+	if !same {
+		m.viewStale = true
+	}
 	m.seen = true
 	m.addr, m.typ, m.zone, m.spot = r.Address, r.Type, r.Zone, r.Spot
 	m.shift, m.counter, m.epoch = r.Shift, r.Counter, r.Epoch
@@ -82,6 +86,9 @@
 	if r.RecallS != nil {
 		m.recallAt = d.now() + clock.FromSeconds(*r.RecallS)
 	}
+	if same {
+		return
+	}
 	clear(m.tasks)
 	for _, t := range r.Tasks {
 		id, task, ok := protocol.ParseTask(t.Task)
@@ -105,15 +112,34 @@
 	}
 }
 
+// sameTasks tells that a report brings no news of the machine's tasks.
+func (m *machine) sameTasks(tasks []protocol.TaskReport) bool {
+	if len(tasks) != len(m.tasks) {
+		return false
+	}
+	for _, t := range tasks {
+		id, task, ok := protocol.ParseTask(t.Task)
+		if !ok {
+			return false
+		}
+		if known, there := m.tasks[taskRef{id, task, t.Try}]; !there || known.Status != t.Status {
+			return false
+		}
+	}
+	return true
+}
+
 // synced tells that the worker obeys nobody older any more: what its reports
 // lack is not there, and what an older leader sent can't arrive.
 func (d *Dispatch) synced(m *machine) bool { return m.seen && !m.expired && m.epoch == d.term.Epoch }
 
 // reconcile draws from the last report what it proves about placements.
 func (d *Dispatch) reconcile(m *machine) {
+	m.settled = true
 	for id, tasks := range inOrder(m.placed) {
 		j := d.jobs[id]
 		if j == nil || j.reread {
+			m.settled = false
 			continue
 		}
 		for _, p := range inOrder(tasks) {
@@ -123,6 +149,7 @@
 				continue
 			}
 			if p.Shift > m.shift {
+				m.settled = false
 				continue
 			}
 			ref := taskRef{id, p.Task, p.Try}
@@ -134,6 +161,8 @@
 				d.running(m, j, ref, t)
 			case d.stopping(j, p) != nil && j.committed(p) && d.synced(m) && !d.mayArrive(m, ref):
 				d.unplace(j, p)
+			default:
+				m.settled = false
 			}
 		}
 	}
@@ -167,9 +196,12 @@
 		if t.Status == protocol.TaskRunning {
 			j.spoilt = max(j.spoilt, ref.try) // a gang that runs can't be completed
 			m.since[ref] = d.now()
+			j.runningStale = true
 			j.failures = 0
-			slog.Debug("task running", "job", ref.job, "class", j.Spec.Class, "task", ref.task, "machine", m.name, "type", m.typ,
-				"since_submission_s", (d.mailbox.OfDay() - clock.Micros(j.SubmittedAt)).Seconds())
+			if debugging() {
+				slog.Debug("task running", "job", ref.job, "class", j.Spec.Class, "task", ref.task, "machine", m.name, "type", m.typ,
+					"since_submission_s", (d.mailbox.OfDay() - clock.Micros(j.SubmittedAt)).Seconds())
+			}
 		}
 	}
 }
@@ -177,6 +209,7 @@
 // imageSeen keeps a guess at the machine's image cache: the most recently used
 // images, as many as there is room for.
 func (d *Dispatch) imageSeen(m *machine, name string, gb float64) {
+	m.viewStale = true
 	images := []image{{name, gb}}
 	used := gb
 	for _, i := range m.images {
@@ -200,8 +233,20 @@
 	if since := m.since[ref]; since != 0 {
 		ran = d.now() - since
 	}
+	if debugging() {
+		slog.Debug("task exited", "job", id, "task", p.Task, "try", p.Try, "machine", m.name, "cause", t.Cause, "ran_s", ran.Seconds())
+	}
+	if t.Cause == protocol.CauseDone && !j.Final() {
+		if j.Spec.Gang() {
+			// They complete together: if one is done, all are.
+			for task := range j.Spec.Tasks {
+				j.Done.Add(task)
+			}
+		} else {
+			j.Done.Add(p.Task)
+		}
+	}
 	d.unplace(j, p)
-	slog.Debug("task exited", "job", id, "task", p.Task, "try", p.Try, "machine", m.name, "cause", t.Cause, "ran_s", ran.Seconds())
 	if j.Final() {
 		return
 	}
@@ -213,14 +258,6 @@
 	case protocol.CauseDone:
 		j.failures, j.Cause = 0, ""
 		d.notePace(m, &j.Spec, ran)
-		if j.Spec.Gang() {
-			// They complete together: if one is done, all are.
-			for task := range j.Spec.Tasks {
-				j.Done.Add(task)
-			}
-		} else {
-			j.Done.Add(p.Task)
-		}
 		if j.Done.Len() == j.Spec.Tasks {
 			j.Status = protocol.StatusDone
 			d.repay(j)
@@ -400,7 +437,7 @@
 		return
 	}
 	orders := d.orders(m, false)
-	if len(orders) == 0 && (d.synced(m) || m.syncedAt != 0 && d.now() < m.syncedAt+2*clock.Second) {
+	if len(orders) == 0 && (d.synced(m) || m.syncedAt != 0 && d.now() < m.syncedAt+remindTime) {
 		return
 	}
 	shift := m.shift
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"log/slog"
 	"maps"
 	"math"
@@ -30,22 +31,29 @@
 		snapshot = d.snapshot()
 		plan = planner.Make(snapshot)
 	}
-	tries := map[*job]int64{}
+	// A gang of which a part would boot yet stays whole: placed in part it would
+	// hold its places, fail for want of the rest and start over. The plan has kept
+	// the room for it.
+	booting := map[string]bool{}
+	for _, p := range plan.Places {
+		if p.Booting && !strings.HasPrefix(p.Job, sparePrefix) && d.jobs[p.Job].Spec.Gang() {
+			booting[p.Job] = true
+		}
+	}
 	for _, p := range plan.Places {
 		if strings.HasPrefix(p.Job, sparePrefix) {
 			d.machines[p.Machine].spareAt = d.now()
 			continue
 		}
-		if p.Booting {
+		if p.Booting || booting[p.Job] {
 			continue
 		}
 		j, m := d.jobs[p.Job], d.machines[p.Machine]
-		if tries[j] == 0 {
-			tries[j] = d.nextTry(j)
+		if debugging() {
+			slog.Debug("placing task", "job", p.Job, "class", j.Spec.Class, "task", p.Task, "machine", m.name, "type", m.typ,
+				"image_there", m.hasImage(j.Spec.Image), "since_submission_s", (d.mailbox.OfDay() - clock.Micros(j.SubmittedAt)).Seconds())
 		}
-		slog.Debug("placing task", "job", p.Job, "class", j.Spec.Class, "task", p.Task, "machine", m.name, "type", m.typ,
-			"image_there", m.hasImage(j.Spec.Image), "since_submission_s", (d.mailbox.OfDay() - clock.Micros(j.SubmittedAt)).Seconds())
-		d.place(j, ledger.Placement{Task: p.Task, Try: tries[j], Machine: m.name, Shift: m.shift})
+		d.place(j, ledger.Placement{Task: p.Task, Try: j.thisTry(), Machine: m.name, Shift: m.shift})
 	}
 	for _, s := range plan.Stops {
 		j, winner := d.jobs[s.Job], d.jobs[s.For]
@@ -53,23 +61,27 @@
 		d.stop(j, s.Task, "room", s.For)
 		if !slices.Contains(winner.Lenders, s.Job) {
 			winner.Lenders = append(winner.Lenders, s.Job)
-			winner.touch()
+			d.touch(winner)
 		}
 	}
 	d.rent(append(plan.Wants, d.cheaper(plan, snapshot)...))
 }
 
-// nextTry is a new try, or that of the gang to be completed.
-func (d *Dispatch) nextTry(j *job) int64 {
+// thisTry is the try for tasks placed now: none of them ever had it, since the
+// next try rises above that of each task that has to run again. A gang that is to
+// be completed goes on with the try of its other tasks.
+func (j *job) thisTry() int64 {
 	if j.Spec.Gang() {
 		for _, p := range j.Placed {
 			return p.Try
 		}
 	}
-	j.NextTry++
-	return j.NextTry - 1
+	return j.NextTry
 }
 
+// debugging spares the cost of what would be thrown away.
+func debugging() bool { return slog.Default().Enabled(context.Background(), slog.LevelDebug) }
+
 // cheaper are the tasks that wait for costly machines to boot: a cheaper place
 // is rented if there is any, and leaves the costly one to those who need it.
 func (d *Dispatch) cheaper(plan planner.Plan, s planner.Snapshot) []planner.Want {
@@ -103,7 +115,7 @@
 func (d *Dispatch) uncordon(wants []planner.Want) bool {
 	market := d.market()
 	var best *machine
-	for _, m := range inOrder(d.machines) {
+	for _, m := range d.roster {
 		if m.cordoned && !m.releasing && (best == nil || market.Price(m.kind()) < market.Price(best.kind())) &&
 			market.Uncordon(m.kind(), wants) {
 			best = m
@@ -121,7 +133,7 @@
 	if len(d.catalogue) == 0 {
 		return
 	}
-	for _, m := range inOrder(d.machines) {
+	for _, m := range d.roster {
 		if m.cordoned && !m.releasing && d.now() > m.cordonedAt+cordonTime && d.movable(m) && d.spares(m) {
 			slog.Info("moving tasks off a machine that can be spared", "machine", m.name, "type", m.typ, "spot", m.spot)
 			for id, tasks := range inOrder(m.placed) {
@@ -184,8 +196,9 @@
 			Guarantee: planner.Amounts{Cpus: t.Cpus, Gpus: t.Gpus},
 		}
 	}
-	for _, m := range inOrder(d.machines) {
-		if pm, ok := d.planned(m); ok {
+	s.Machines = make([]planner.Machine, 0, len(d.roster))
+	for _, m := range d.roster {
+		if pm, ok := d.planned(m, now); ok {
 			s.Machines = append(s.Machines, pm)
 		}
 	}
@@ -208,7 +221,7 @@
 			Returning: j.returning, Waiting: now < j.notBefore, MayEvict: j.failures < 3, Avoid: j.avoid}
 		pj.Tier, pj.SlackS = d.aims(j)
 		pj.StartAim = d.startsSoon(j.Spec.Class)
-		if !j.Spec.Gang() || len(j.Placed) == 0 || d.completable(j) {
+		if missing := j.PendingCount() > 0; missing && (!j.Spec.Gang() || len(j.Placed) == 0 || d.completable(j)) {
 			pj.Limit = j.Room(limit)
 			pj.Pending = j.Pending(min(planTasks, pj.Limit))
 			if j.Spec.Gang() {
@@ -219,9 +232,7 @@
 		if len(pj.Pending) == 0 {
 			j.returning = false
 		}
-		for _, p := range inOrder(j.Placed) {
-			pj.Running = append(pj.Running, d.runningTask(j, p))
-		}
+		pj.Running = d.runningTasks(j, now)
 		s.Jobs = append(s.Jobs, pj)
 	}
 	hurry(&s)
@@ -332,7 +343,8 @@
 		return j.avoid
 	}
 	avoid := maps.Clone(j.avoid)
-	for name, m := range d.machines {
+	for _, m := range d.roster {
+		name := m.name
 		for ref, t := range m.tasks {
 			if ref.job == j.Spec.ID && t.Status == protocol.TaskExited {
 				avoid[name] = true
@@ -342,21 +354,36 @@
 	return avoid
 }
 
-// runningTask estimates what stopping a task loses: the time since the last
-// checkpoint that its interval implies, or all of it where it declares none.
-func (d *Dispatch) runningTask(j *job, p ledger.Placement) planner.Running {
-	r := planner.Running{Task: p.Task, Machine: p.Machine}
-	_, r.Stopping = j.stops[p.Task]
-	if m := d.machines[p.Machine]; m != nil {
-		r.Zone = m.zone
-		if since := m.since[taskRef{j.Spec.ID, p.Task, p.Try}]; since != 0 {
-			r.Overhead = (d.now() - since).Seconds()
+// runningTasks shows the planner what a job has placed. What stopping a task
+// loses is the time since the last checkpoint that its interval implies, or all
+// of it where it declares none.
+func (d *Dispatch) runningTasks(j *job, now clock.Micros) []planner.Running {
+	if j.runningStale {
+		j.runningStale = false
+		j.running, j.runningSince = j.running[:0], j.runningSince[:0]
+		for _, task := range slices.Sorted(maps.Keys(j.Placed)) {
+			p := j.Placed[task]
+			r := planner.Running{Task: task, Machine: p.Machine}
+			_, r.Stopping = j.stops[task]
+			since := clock.Micros(0)
+			if m := d.machines[p.Machine]; m != nil {
+				r.Zone = m.zone
+				since = m.since[taskRef{j.Spec.ID, task, p.Try}]
+			}
+			j.running, j.runningSince = append(j.running, r), append(j.runningSince, since)
+		}
+	}
+	for i, since := range j.runningSince {
+		r := &j.running[i]
+		r.Overhead, r.Borrowed = 0, false
+		if since != 0 {
+			r.Overhead = (now - since).Seconds()
 			if j.Spec.CheckpointS > 0 {
 				r.Overhead = math.Mod(r.Overhead, j.Spec.CheckpointS)
 			}
 		}
 	}
-	return r
+	return j.running
 }
 
 // markBorrowed marks, youngest jobs first, what teams run beyond their
@@ -389,38 +416,62 @@
 }
 
 // planned is the machine as the planner may use it, if at all.
-func (d *Dispatch) planned(m *machine) (planner.Machine, bool) {
-	now := d.now()
+func (d *Dispatch) planned(m *machine, now clock.Micros) (planner.Machine, bool) {
 	t, known := d.types[m.typ]
-	if !known || m.releasing || m.quarantine || m.recallAt != 0 || now < m.fullUntil {
+	if !known || m.releasing || m.quarantine || m.recallAt != 0 || now < m.fullUntil ||
+		m.seen && (m.cordoned || !d.synced(m) || !d.lively(m)) {
 		return planner.Machine{}, false
 	}
-	pm := planner.Machine{Name: m.name, Type: m.typ, Zone: m.zone, Spot: m.spot, Whole: fleet.Whole(t),
-		Free: fleet.Whole(t), Images: map[string]bool{}, Price: fleet.Price(t, m.spot), Slow: m.slowness()}
-	if t.FetchGBPerS > 0 {
-		pm.FetchS = 1 / t.FetchGBPerS
+	if m.viewStale {
+		d.look(m, t)
 	}
 	if !m.seen {
 		boot := clock.FromSeconds(t.BootS)
-		pm.Booting = m.status == protocol.MachineStarting && now < m.firstSeen+2*boot+5*clock.Second ||
+		m.view.Booting = m.status == protocol.MachineStarting && now < m.firstSeen+2*boot+5*clock.Second ||
 			m.status == protocol.MachineRunning && now < m.firstSeen+boot+10*clock.Second
-		return pm, pm.Booting && len(m.placed) == 0
+		// One that is late is taken to need as long again as it is late.
+		late := now - m.firstSeen - boot
+		m.view.BootS = max(-late, late).Seconds()
+		return m.view, m.view.Booting && len(m.placed) == 0
+	}
+	m.pull(now, t)
+	m.view.PullS = m.pullGB * m.view.FetchS
+	return m.view, !m.strange
+}
+
+// pull lets the images that are being fetched come nearer.
+func (m *machine) pull(now clock.Micros, t protocol.MachineType) {
+	if len(m.view.Pulling) == 0 {
+		m.pullGB = 0
 	}
-	if !d.synced(m) || !d.lively(m) || m.cordoned {
-		return planner.Machine{}, false
+	m.pullGB = max(0, m.pullGB-(now-m.pulledAt).Seconds()*t.FetchGBPerS)
+	m.pulledAt = now
+}
+
+// look makes the planner's view of a machine anew.
+func (d *Dispatch) look(m *machine, t protocol.MachineType) {
+	m.viewStale, m.strange = false, false
+	m.pull(d.now(), t)
+	before := m.view.Pulling
+	m.view = planner.Machine{Name: m.name, Type: m.typ, Zone: m.zone, Spot: m.spot, Whole: fleet.Whole(t),
+		Free: fleet.Whole(t), Price: fleet.Price(t, m.spot), Slow: m.slowness()}
+	if t.FetchGBPerS > 0 {
+		m.view.FetchS = 1 / t.FetchGBPerS
 	}
 	for _, i := range m.images {
-		pm.Images[i.name] = true
+		m.view.Images = append(m.view.Images, i.name)
 	}
 	for id, tasks := range inOrder(m.placed) {
 		j := d.jobs[id]
-		pm.Free = pm.Free.Minus(planner.Needs(&j.Spec).Times(float64(len(tasks))))
-		pm.Images[j.Spec.Image] = true
+		m.view.Free = m.view.Free.Minus(planner.Needs(&j.Spec).Times(float64(len(tasks))))
+		if m.view.Pull(&j.Spec); !slices.Contains(before, j.Spec.Image) && slices.Contains(m.view.Pulling, j.Spec.Image) {
+			m.pullGB += j.Spec.ImageGB
+			before = append(before, j.Spec.Image)
+		}
 	}
 	for ref, t := range m.tasks {
 		if _, placed := m.placed[ref.job][ref.task]; !placed && t.Status != protocol.TaskExited {
-			return planner.Machine{}, false // something of unknown size is there
+			m.strange = true
 		}
 	}
-	return pm, true
 }
--- a/internal/planner/evict.go
+++ b/internal/planner/evict.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sort"
 )
 
 // minShare is the part of its full size below which an array isn't shrunk: the
@@ -19,6 +20,9 @@
 // is judged by placing the tasks on the machines as they would be, since freed
 // pieces that are scattered can add up without holding a single task.
 func (p *planning) evict(j *Job, jobs []Job, n int) bool {
+	if t := p.teams[j.Spec.Team]; p.lowest <= j.Rank && !(p.borrowed && t != nil && t.within()) {
+		return false // nothing that runs has to yield
+	}
 	chosen := p.shrink(j, jobs, n)
 	if chosen == nil {
 		chosen = p.stop(j, jobs, n)
@@ -36,25 +40,14 @@
 // reserve keeps the room that stopping tasks are about to leave, and the free
 // room that goes with it, for the first job that fits: the jobs after it would
 // take it piece by piece, and it would be made again and again.
-func (p *planning) reserve(j *Job, jobs []Job, n int) bool {
-	var leaving []victim
-	for i := range jobs {
-		for _, r := range jobs[i].Running {
-			if r.Stopping {
-				leaving = append(leaving, victim{&jobs[i], r})
-			}
-		}
-	}
-	return p.hold(j, n, leaving)
-}
+func (p *planning) reserve(j *Job, n int) bool { return p.hold(j, n, p.leaving) }
 
 // hold takes the places that n tasks of j will have once the victims are gone.
 func (p *planning) hold(j *Job, n int, victims []victim) bool {
 	p.free(victims, 1)
-	places := p.fitUp(j, n)
+	places := p.fitGang(j, n, true)
 	p.free(victims, -1)
 	for _, m := range places {
-		m := p.byName[m.Name]
 		m.Free = m.Free.Minus(Needs(j.Spec))
 	}
 	return places != nil
@@ -172,29 +165,35 @@
 		return nil
 	}
 	defer func(saved []Machine) { copy(p.machines, saved) }(slices.Clone(p.machines))
-	taken := 0
-	for taken < len(units) && p.fitUp(j, n) == nil {
-		p.free(units[taken], 1)
-		taken++
-	}
-	if p.fitUp(j, n) == nil {
+	fits := func() bool { return p.fitGang(j, n, true) != nil }
+	// Freeing more never takes room away, so that the least that suffices can
+	// be searched for by halves.
+	freed := 0
+	taken := sort.Search(len(units)+1, func(k int) bool {
+		for ; freed < k; freed++ {
+			p.free(units[freed], 1)
+		}
+		for ; freed > k; freed-- {
+			p.free(units[freed-1], -1)
+		}
+		return fits()
+	})
+	if taken > len(units) {
 		return nil
 	}
+	for ; freed < taken; freed++ {
+		p.free(units[freed], 1)
+	}
+	for ; freed > taken; freed-- {
+		p.free(units[freed-1], -1)
+	}
 	var chosen []victim
 	for i := taken - 1; i >= 0; i-- {
 		p.free(units[i], -1)
-		if p.fitUp(j, n) == nil {
+		if !fits() {
 			p.free(units[i], 1)
 			chosen = append(chosen, units[i]...)
 		}
 	}
 	return chosen
 }
-
-// fitUp finds places for n more tasks of j on machines that are up, or nil.
-func (p *planning) fitUp(j *Job, n int) []*Machine {
-	all := p.machines
-	p.machines = slices.DeleteFunc(slices.Clone(all), func(m Machine) bool { return m.Booting })
-	defer func() { p.machines = all }()
-	return p.fitGang(j, n)
-}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 
 	"postpoint/internal/protocol"
@@ -69,10 +70,35 @@
 	Booting bool
 	Whole   Amounts
 	Free    Amounts
-	Price   float64         // an hour
-	FetchS  float64         // seconds a GB of image
-	Images  map[string]bool // cached or being fetched
-	Slow    float64         // by how much longer its tasks ran than others', 0 if they didn't
+	Price   float64  // an hour
+	FetchS  float64  // seconds a GB of image
+	Images  []string // cached
+	// Pulling are the images being fetched, which takes PullS seconds for all of
+	// them: they share the rate.
+	Pulling []string
+	PullS   float64
+	// BootS is how many seconds a booting machine is expected to take yet.
+	BootS float64
+	Slow  float64 // by how much longer its tasks ran than others', 0 if they didn't
+}
+
+// ImageS is how many seconds a task of the job would wait there for its image.
+func (m *Machine) ImageS(s *protocol.JobSpec) float64 {
+	switch {
+	case slices.Contains(m.Images, s.Image):
+		return 0
+	case slices.Contains(m.Pulling, s.Image):
+		return m.PullS
+	}
+	return m.PullS + s.ImageGB*m.FetchS
+}
+
+// Pull notes that the image is being fetched for a task placed there.
+func (m *Machine) Pull(s *protocol.JobSpec) {
+	if !slices.Contains(m.Images, s.Image) && !slices.Contains(m.Pulling, s.Image) {
+		m.Pulling = append(slices.Clip(m.Pulling), s.Image)
+		m.PullS += s.ImageGB * m.FetchS
+	}
 }
 
 // Running is a task that may be on a machine.
@@ -185,25 +211,39 @@
 }
 
 type planning struct {
-	machines []Machine
+	machines []Machine // in the order of their names
 	byName   map[string]*Machine
+	zones    []string
 	teams    map[string]*Team
 	plan     Plan
+	// lowest is the lowest rank of which anything runs, borrowed tells that some
+	// team runs more than its guarantee: without either nothing can be evicted.
+	lowest   int
+	borrowed bool
+	leaving  []victim // what is being stopped already
 }
 
 // Make plans for the snapshot, which it leaves unchanged.
 func Make(s Snapshot) Plan {
-	p := &planning{machines: slices.Clone(s.Machines), byName: map[string]*Machine{}, teams: map[string]*Team{}}
+	p := &planning{machines: slices.Clone(s.Machines), teams: make(map[string]*Team, len(s.Teams))}
 	slices.SortFunc(p.machines, func(a, b Machine) int { return cmp.Compare(a.Name, b.Name) })
+	p.byName = make(map[string]*Machine, len(p.machines))
 	for i := range p.machines {
-		p.byName[p.machines[i].Name] = &p.machines[i]
+		m := &p.machines[i]
+		p.byName[m.Name] = m
+		if !slices.Contains(p.zones, m.Zone) {
+			p.zones = append(p.zones, m.Zone)
+		}
 	}
 	for name, t := range s.Teams {
 		p.teams[name] = &t
 	}
 	jobs := slices.Clone(s.Jobs)
 	slices.SortFunc(jobs, p.before)
-	stopping := anyStopping(jobs)
+	p.survey(jobs)
+	// Room that is being made already is awaited before more is made, or one
+	// shortage would evict again and again.
+	stopping := len(p.leaving) > 0
 	for i := range jobs {
 		j := &jobs[i]
 		if j.Waiting || len(j.Pending) == 0 {
@@ -218,7 +258,7 @@
 				stopping = true
 				continue
 			}
-			if stopping && p.reserve(j, jobs, wanted-placed) {
+			if stopping && p.reserve(j, wanted-placed) {
 				continue
 			}
 		}
@@ -227,6 +267,22 @@
 	return p.plan
 }
 
+// survey looks once at all that runs, for what every waiting job would ask.
+func (p *planning) survey(jobs []Job) {
+	for i := range jobs {
+		j := &jobs[i]
+		for _, r := range j.Running {
+			p.borrowed = p.borrowed || r.Borrowed
+			if r.Stopping {
+				p.leaving = append(p.leaving, victim{j, r})
+			}
+		}
+		if len(j.Running) > 0 {
+			p.lowest = max(p.lowest, j.Rank)
+		}
+	}
+}
+
 // before orders the queue: rank, then teams within their guarantee, then those
 // who lent room, then by which aims can still be met, then the order of
 // submission, which stopped jobs keep.
@@ -261,19 +317,6 @@
 	return 0
 }
 
-// anyStopping tells that room is being made already: its effect is awaited
-// before more is made, or one shortage would evict again and again.
-func anyStopping(jobs []Job) bool {
-	for i := range jobs {
-		for _, r := range jobs[i].Running {
-			if r.Stopping {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // place starts what fits and says how many tasks should run and how many do.
 func (p *planning) place(j *Job) (wanted, placed int) {
 	team := p.teams[j.Spec.Team]
@@ -283,34 +326,47 @@
 		if n > j.Limit || team != nil && !team.allows(needs, n) {
 			return 0, 0
 		}
-		places := p.fitGang(j, n)
+		// Machines that are up come first: what waits for one that boots can't
+		// start before it.
+		places := p.fitGang(j, n, true)
+		if places == nil {
+			places = p.fitGang(j, n, false)
+		}
 		if places == nil {
 			return n, 0
 		}
+		j.Running = slices.Clip(j.Running)
 		for i, m := range places {
 			p.take(j, j.Pending[i], m, team)
 		}
 		return n, n
 	}
 	zones := zonesOf(j)
+	room := p.choices(j, p.candidates(j, false))
+	j.Running = slices.Clip(j.Running) // the snapshot's own array stays as it is
 	for _, task := range j.Pending[:min(len(j.Pending), j.Limit)] {
 		if team != nil && !team.allows(needs, 1) {
 			break
 		}
 		wanted++
-		m := p.best(j, zones, "")
+		m := room.best(zones)
 		if m == nil {
 			continue
 		}
 		zones[m.Zone]++
 		p.take(j, task, m, team)
+		room.taken()
 		placed++
 	}
 	return wanted, placed
 }
 
+// zonesOf counts the job's tasks by zone, if that matters to it.
 func zonesOf(j *Job) map[string]int {
 	zones := map[string]int{}
+	if !j.Spec.OneZone && !j.Spec.Spread {
+		return zones
+	}
 	for _, r := range j.Running {
 		zones[r.Zone]++
 	}
@@ -322,63 +378,73 @@
 	if team != nil {
 		team.Used = team.Used.Plus(Needs(j.Spec))
 	}
-	if !m.Images[j.Spec.Image] {
-		images := map[string]bool{j.Spec.Image: true}
-		for k := range m.Images {
-			images[k] = true
-		}
-		m.Images = images
-	}
-	j.Running = append(slices.Clip(j.Running), Running{Task: task, Machine: m.Name, Zone: m.Zone})
+	m.Pull(j.Spec)
+	j.Running = append(j.Running, Running{Task: task, Machine: m.Name, Zone: m.Zone})
 	p.plan.Places = append(p.plan.Places, Place{j.ID, task, m.Name, m.Booting})
 }
 
-// fitGang finds room for n tasks at once, or nil.
-func (p *planning) fitGang(j *Job, n int) []*Machine {
-	choices := []string{""}
-	if j.Spec.OneZone {
-		choices = nil
-		for i := range p.machines {
-			if z := p.machines[i].Zone; !slices.Contains(choices, z) {
-				choices = append(choices, z)
-			}
-		}
+// fitGang finds room for n tasks at once, or nil; if up is set, only on machines
+// that are up.
+func (p *planning) fitGang(j *Job, n int, up bool) []*Machine {
+	candidates := p.candidates(j, up)
+	fits := 0
+	for _, m := range candidates {
+		fits += Needs(j.Spec).Count(m.Free)
 	}
+	if fits < n {
+		return nil
+	}
+	if !j.Spec.OneZone {
+		places, _ := p.fitOn(j, n, candidates)
+		return places
+	}
+	held := zonesOf(j)
 	var best []*Machine
 	bestCost := 0.0
-	for _, zone := range choices {
-		zones := zonesOf(j)
-		if j.Spec.OneZone {
-			if len(zones) > 0 && zones[zone] == 0 {
-				continue
-			}
-		}
-		saved := make([]Amounts, len(p.machines))
-		for i := range p.machines {
-			saved[i] = p.machines[i].Free
+	for _, zone := range p.zones {
+		if len(held) > 0 && held[zone] == 0 {
+			continue
 		}
-		var places []*Machine
-		cost := 0.0
-		for range n {
-			m := p.best(j, zones, zone)
-			if m == nil {
-				break
+		var inside []*Machine
+		for _, m := range candidates {
+			if m.Zone == zone {
+				inside = append(inside, m)
 			}
-			cost += score(j, m)
-			m.Free = m.Free.Minus(Needs(j.Spec))
-			zones[m.Zone]++
-			places = append(places, m)
-		}
-		for i := range p.machines {
-			p.machines[i].Free = saved[i]
 		}
-		if len(places) == n && (best == nil || cost < bestCost) {
+		if places, cost := p.fitOn(j, n, inside); places != nil && (best == nil || cost < bestCost) {
 			best, bestCost = places, cost
 		}
 	}
 	return best
 }
 
+// fitOn is fitGang on the given machines, which it leaves as they are.
+func (p *planning) fitOn(j *Job, n int, candidates []*Machine) (places []*Machine, cost float64) {
+	room := p.choices(j, candidates)
+	zones := zonesOf(j)
+	needs := Needs(j.Spec)
+	var before []Amounts
+	for len(places) < n {
+		m := room.best(zones)
+		if m == nil {
+			break
+		}
+		cost += room.list[0].score
+		before = append(before, m.Free)
+		m.Free = m.Free.Minus(needs)
+		zones[m.Zone]++
+		places = append(places, m)
+		room.taken()
+	}
+	for i, m := range slices.Backward(places) {
+		m.Free = before[i]
+	}
+	if len(places) < n {
+		return nil, 0
+	}
+	return places, cost
+}
+
 // Allowed tells whether a job may use a kind of machine in a zone, its other
 // tasks aside.
 func Allowed(s *protocol.JobSpec, typ, zone string, spot bool) bool {
@@ -399,35 +465,88 @@
 	return !s.Spread || zones[zone]+zones[""]+1 <= (s.Tasks+1)/2
 }
 
-// best is the most suitable machine with room for one more task, in the only
-// zone if one is named, or nil.
-func (p *planning) best(j *Job, zones map[string]int, only string) *Machine {
-	var best *Machine
-	bestScore := 0.0
+// candidates are the machines with room for a task of the job, its other tasks
+// aside.
+func (p *planning) candidates(j *Job, up bool) []*Machine {
+	var all []*Machine
 	needs := Needs(j.Spec)
 	for i := range p.machines {
 		m := &p.machines[i]
-		if !needs.Fits(m.Free) || only != "" && m.Zone != only || j.Avoid[m.Name] || !Allowed(j.Spec, m.Type, m.Zone, m.Spot) ||
-			!ZoneAllowed(j.Spec, zones, m.Zone) {
-			continue
+		if needs.Fits(m.Free) && !(up && m.Booting) && Allowed(j.Spec, m.Type, m.Zone, m.Spot) && !j.Avoid[m.Name] {
+			all = append(all, m)
 		}
-		if s := score(j, m); best == nil || s < bestScore {
-			best, bestScore = m, s
+	}
+	return all
+}
+
+// choices are machines in the order of their scores for tasks of one job: alike
+// tasks are placed one after another without a look at every machine for each.
+type choices struct {
+	j    *Job
+	list []choice
+}
+
+type choice struct {
+	m     *Machine
+	score float64
+	order int // among equal ones
+}
+
+func (p *planning) choices(j *Job, machines []*Machine) *choices {
+	c := &choices{j, make([]choice, len(machines))}
+	for i, m := range machines {
+		c.list[i] = choice{m, score(j, m), i}
+	}
+	heap.Init(c)
+	return c
+}
+
+func (c *choices) Len() int { return len(c.list) }
+func (c *choices) Less(i, k int) bool {
+	a, b := &c.list[i], &c.list[k]
+	return a.score < b.score || a.score == b.score && a.order < b.order
+}
+func (c *choices) Swap(i, k int) { c.list[i], c.list[k] = c.list[k], c.list[i] }
+func (c *choices) Push(x any)    { c.list = append(c.list, x.(choice)) }
+func (c *choices) Pop() any {
+	last := c.list[len(c.list)-1]
+	c.list = c.list[:len(c.list)-1]
+	return last
+}
+
+// best is the most suitable machine with room for one more task, or nil. A zone
+// that the job's tasks close to it stays closed, since they only become more.
+func (c *choices) best(zones map[string]int) *Machine {
+	for len(c.list) > 0 {
+		if m := c.list[0].m; ZoneAllowed(c.j.Spec, zones, m.Zone) {
+			return m
 		}
+		heap.Pop(c)
 	}
-	return best
+	return nil
+}
+
+// taken tells that the best machine has less room now.
+func (c *choices) taken() {
+	first := &c.list[0]
+	if !Needs(c.j.Spec).Fits(first.m.Free) {
+		heap.Pop(c)
+		return
+	}
+	first.score = score(c.j, first.m)
+	heap.Fix(c, 0)
 }
 
+// bootRiskS is for machines that take longer to boot than they should, in seconds.
+const bootRiskS = 10
+
 // score weighs, in seconds, the wait for the image, running on a costlier
 // machine than needed, and how much of the machine would be left in pieces:
 // full machines leave others idle, and idle ones can be returned.
 func score(j *Job, m *Machine) float64 {
-	s := 0.0
-	if !m.Images[j.Spec.Image] {
-		s += j.Spec.ImageGB * m.FetchS
-	}
+	s := m.ImageS(j.Spec)
 	if m.Booting {
-		s += 1000
+		s += m.BootS + bootRiskS
 	}
 	needs := Needs(j.Spec)
 	s += m.Slow * j.Spec.EstimateS
