Rent for all that waits at once; smaller records; longer pauses after refusals

Ruled out: price (brad is always fair).

Change: a decision covers all wants, bookings are paced by half of the cloud's limit, a kind that has run out is asked again after 8 to 32 s or once one of it is returned, records count their groups and digits.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"slices"
 
+	"golang.org/x/time/rate"
+
 	"postpoint/internal/actor"
 	"postpoint/internal/agent"
 	"postpoint/internal/clock"
@@ -78,7 +80,8 @@
 	releasing bool
 	listing   bool
 	listedAt  clock.Micros
-	refused   map[fleet.Kind]clock.Micros // until when
+	refused   map[fleet.Kind]refusal
+	pace      *rate.Limiter // of bookings
 	downUntil clock.Micros
 }
 
@@ -289,7 +292,7 @@
 	d.unreadable, d.retired = map[string]bool{}, map[string]int64{}
 	d.loaded, d.committing, d.waking, d.shared = false, false, false, false
 	d.freshAt = 0
-	d.renting = fleetState{refused: map[fleet.Kind]clock.Micros{}}
+	d.renting = newFleetState(d.set.Deployment.Cloud.Rps)
 	d.load(d.term.Epoch, "", 0, d.now())
 }
 
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -5,6 +5,9 @@
 	"log/slog"
 	"net/http"
 	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
 
 	"postpoint/internal/clock"
 	"postpoint/internal/cloud"
@@ -15,7 +18,8 @@
 
 const (
 	listTime    = 4 * clock.Second
-	refusedTime = 15 * clock.Second
+	refusedTime = 8 * clock.Second
+	refusedMost = 32 * clock.Second
 	downTime    = 2 * clock.Second
 	unheardTime = 9 * clock.Second
 	leaseMargin = clock.Second
@@ -206,8 +210,8 @@
 
 func (d *Dispatch) market() *fleet.Market {
 	m := &fleet.Market{Types: d.types, Refused: map[fleet.Kind]bool{}}
-	for k, until := range d.renting.refused {
-		if d.now() < until {
+	for k, r := range d.renting.refused {
+		if d.now() < r.until {
 			m.Refused[k] = true
 		}
 	}
@@ -221,17 +225,37 @@
 	if d.renting.waiting > 0 || d.now() < d.renting.downUntil || len(wants) == 0 || len(d.catalogue) == 0 {
 		return
 	}
-	rentals := d.market().Rent(wants)
-	for _, r := range rentals[:min(len(rentals), maxBookings)] {
-		d.renting.bookings++
-		d.renting.waiting++
-		d.book(protocol.Rental{Booking: fmt.Sprintf("e%d-%d", d.term.Epoch, d.renting.bookings),
-			Type: r.Kind.Type, Zone: r.Kind.Zone, Spot: r.Kind.Spot, Count: min(r.Count, cloud.RentalSize)}, r.Kind, 1)
+	for _, r := range d.market().Rent(wants) {
+		for left := r.Count; left > 0 && d.renting.pace.AllowN(time.UnixMicro(int64(d.now())), 1); left -= cloud.RentalSize {
+			d.renting.bookings++
+			d.renting.waiting++
+			d.book(protocol.Rental{Booking: fmt.Sprintf("e%d-%d", d.term.Epoch, d.renting.bookings),
+				Type: r.Kind.Type, Zone: r.Kind.Zone, Spot: r.Kind.Spot, Count: min(left, cloud.RentalSize)}, r.Kind, 1)
+		}
 	}
 }
 
-// maxBookings at once leave the cloud's limit room for releases and lists.
-const maxBookings = 4
+// bookingShare of the cloud's limit leaves room for releases and lists.
+const bookingShare = 0.5
+
+// newFleetState is what a term begins with.
+func newFleetState(rps float64) fleetState {
+	return fleetState{refused: map[fleet.Kind]refusal{},
+		pace: rate.NewLimiter(rate.Limit(rps*bookingShare), max(1, int(rps)))}
+}
+
+// refusal is a kind that the cloud has run out of: it is asked again after a
+// while, that doubles as long as the answer is the same.
+type refusal struct {
+	until, pause clock.Micros
+}
+
+func (d *Dispatch) refuse(k fleet.Kind) {
+	r := d.renting.refused[k]
+	r.pause = min(max(refusedTime, 2*r.pause), refusedMost)
+	r.until = d.now() + r.pause
+	d.renting.refused[k] = r
+}
 
 func (d *Dispatch) book(r protocol.Rental, k fleet.Kind, attempt int) {
 	epoch := d.term.Epoch
@@ -249,12 +273,13 @@
 					m.status = protocol.MachineStarting
 				}
 			}
+			delete(d.renting.refused, k)
 			if len(a.Machines) < r.Count {
-				d.renting.refused[k] = d.now() + refusedTime
+				d.refuse(k)
 			}
 		case status == http.StatusServiceUnavailable && a.Error == protocol.NoCapacity:
 			slog.Debug("no capacity", "type", k.Type, "zone", k.Zone, "spot", k.Spot)
-			d.renting.refused[k] = d.now() + refusedTime
+			d.refuse(k)
 		case status == 0 && attempt < 4:
 			// It may have been carried out: only the same booking is safe.
 			d.inTerm(clock.Second, func() { d.book(r, k, attempt+1) })
@@ -314,6 +339,7 @@
 			}
 			delete(d.machines, name)
 			delete(d.addresses, name)
+			delete(d.renting.refused, m.kind()) // there is one to be had again
 			d.gone[name] = true
 		}
 		d.roster = slices.DeleteFunc(slices.Clone(d.roster), func(m *machine) bool { return d.gone[m.name] })
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -18,7 +18,7 @@
 )
 
 // planTasks bounds how many tasks of one job a single plan starts.
-const planTasks = 400
+const planTasks = 2000
 
 // schedule plans from what is known now and turns the plan into proposals.
 func (d *Dispatch) schedule() {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,6 +28,7 @@
 	// lowest keeps what cheapest found: every kind is compared with it, for
 	// every job that wants room.
 	lowest map[*protocol.JobSpec]float64
+	all    []Kind
 }
 
 // Whole is a machine type's amounts.
@@ -58,15 +59,17 @@
 // kinds goes through all kinds that a job may use, its other tasks aside, with
 // how many of its tasks a machine holds.
 func (m *Market) kinds(s *protocol.JobSpec) iter.Seq2[Kind, int] {
-	return func(yield func(Kind, int) bool) {
+	if m.all == nil {
 		for _, name := range slices.Sorted(maps.Keys(m.Types)) {
 			for _, zone := range m.Types[name].Zones {
-				for _, spot := range []bool{true, false} {
-					k := Kind{name, zone, spot}
-					if n := m.holds(k, s); n > 0 && !yield(k, n) {
-						return
-					}
-				}
+				m.all = append(m.all, Kind{name, zone, true}, Kind{name, zone, false})
+			}
+		}
+	}
+	return func(yield func(Kind, int) bool) {
+		for _, k := range m.all {
+			if n := m.holds(k, s); n > 0 && !yield(k, n) {
+				return
 			}
 		}
 	}
@@ -98,18 +101,25 @@
 		for _, r := range w.Job.Running {
 			zones[r.Zone]++
 		}
-		for w.Tasks > 0 && len(fresh) < maxAtOnce {
-			if r := m.hold(fresh, w.Job, needs, zones); r != nil {
-				r.free = r.free.Minus(needs)
-				zones[r.kind.Zone]++
-				w.Tasks--
-				continue
+		at := 0 // what comes before has no room for a task of this job
+		for w.Tasks > 0 {
+			for at < len(fresh) && !m.takes(fresh[at], w.Job, needs, zones) {
+				at++
 			}
-			k, ok := m.choose(w.Job, zones, w.Tasks, wants)
-			if !ok {
-				break
+			if at == len(fresh) {
+				if len(fresh) == maxAtOnce {
+					break
+				}
+				k, ok := m.choose(w.Job, zones, w.Tasks, wants)
+				if !ok {
+					break
+				}
+				fresh = append(fresh, &rented{kind: k, free: Whole(m.Types[k.Type])})
 			}
-			fresh = append(fresh, &rented{kind: k, free: Whole(m.Types[k.Type])})
+			r := fresh[at]
+			r.free = r.free.Minus(needs)
+			zones[r.kind.Zone]++
+			w.Tasks--
 		}
 	}
 	counts := map[Kind]int{}
@@ -127,16 +137,12 @@
 	return rentals
 }
 
-const maxAtOnce = 50
+// maxAtOnce bounds one decision; what is wanted beyond it is decided next.
+const maxAtOnce = 1000
 
-func (m *Market) hold(fresh []*rented, j *planner.Job, needs planner.Amounts, zones map[string]int) *rented {
-	for _, r := range fresh {
-		if needs.Fits(r.free) && planner.Allowed(j.Spec, r.kind.Type, r.kind.Zone, r.kind.Spot) &&
-			planner.ZoneAllowed(j.Spec, zones, r.kind.Zone) {
-			return r
-		}
-	}
-	return nil
+func (m *Market) takes(r *rented, j *planner.Job, needs planner.Amounts, zones map[string]int) bool {
+	return needs.Fits(r.free) && planner.Allowed(j.Spec, r.kind.Type, r.kind.Zone, r.kind.Spot) &&
+		planner.ZoneAllowed(j.Spec, zones, r.kind.Zone)
 }
 
 // choose is the kind whose price for the tasks that it would hold is lowest.
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -3,7 +3,9 @@
 package ledger
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -66,21 +68,29 @@
 
 // Encode gives the value to store.
 func (j *Job) Encode() []byte {
-	r := record{Spec: j.Spec, Status: j.Status, SubmittedAt: j.SubmittedAt, Done: j.Done.String(),
-		NextTry: j.NextTry, Lenders: j.Lenders, Cause: j.Cause}
-	groups := map[place]*Ranges{}
-	for _, p := range j.Placed {
-		k := place{p.Machine, p.Shift, p.Try}
-		if groups[k] == nil {
-			groups[k] = &Ranges{}
+	return protocol.Encode(record{Spec: j.Spec, Status: j.Status, SubmittedAt: j.SubmittedAt, Done: j.Done.String(),
+		NextTry: j.NextTry, Lenders: j.Lenders, Cause: j.Cause, Placed: j.places()})
+}
+
+// places are the texts of the placements: one for all tasks with the same try on
+// a machine.
+func (j *Job) places() []string {
+	all := slices.SortedFunc(maps.Values(j.Placed), func(a, b Placement) int {
+		return cmp.Or(cmp.Compare(a.Machine, b.Machine), cmp.Compare(a.Shift, b.Shift), cmp.Compare(a.Try, b.Try), cmp.Compare(a.Task, b.Task))
+	})
+	var texts []string
+	for len(all) > 0 {
+		p := all[0]
+		var tasks Ranges
+		n := 0
+		for n < len(all) && all[n].Machine == p.Machine && all[n].Shift == p.Shift && all[n].Try == p.Try {
+			tasks.Add(all[n].Task)
+			n++
 		}
-		groups[k].Add(p.Task)
+		all = all[n:]
+		texts = append(texts, p.Machine+" "+strconv.FormatInt(p.Shift, 10)+" "+strconv.FormatInt(p.Try, 10)+" "+tasks.String())
 	}
-	for k, tasks := range groups {
-		r.Placed = append(r.Placed, fmt.Sprintf("%s %d %d %s", k.machine, k.shift, k.try, tasks))
-	}
-	slices.Sort(r.Placed)
-	return protocol.Encode(r)
+	return texts
 }
 
 // Decode reads a stored value.
@@ -130,16 +140,30 @@
 
 // Room is how many more tasks may start before the record could outgrow limit
 // bytes. It assumes the worst: every running task ends up as a span of its own
-// among the done ones, and sits on a machine of its own until then.
+// among the done ones and among those that run on, and every new one is alone on
+// its machine.
 func (j *Job) Room(limit int) int {
-	const spec, span, group = 700, 14, 45
+	const spec, group, machine = 700, 20, 15
 	s := &j.Spec
-	texts := len(s.ID) + len(s.Class) + len(s.Team) + len(s.Image) + len(strings.Join(s.Types, "---")) + len(s.Zone)
-	used := spec + texts + len(j.Done.spans)*span + len(j.Placed)*(span+group) + len(j.Cause)
+	number := len(strconv.Itoa(s.Tasks)) + 1 // with its comma
+	used := spec + len(s.ID) + len(s.Class) + len(s.Team) + len(s.Image) + len(s.Zone) + len(j.Cause) +
+		len(j.Done.spans)*2*number + len(j.Placed)*2*number + j.groups()*(group+machine)
+	for _, t := range s.Types {
+		used += len(t) + 3
+	}
 	for _, l := range j.Lenders {
 		used += len(l) + 3
 	}
-	return max(0, (limit*9/10-used)/(span+group))
+	return max(0, (limit*9/10-used)/(2*number+group+machine))
+}
+
+// groups is how many texts the placements take.
+func (j *Job) groups() int {
+	seen := make(map[place]bool, len(j.Placed)/4)
+	for _, p := range j.Placed {
+		seen[place{p.Machine, p.Shift, p.Try}] = true
+	}
+	return len(seen)
 }
 
 // Pending gives up to limit tasks, in their order, that are neither done nor
