Jobs of classes without aims begin within four minutes and aren't starved

Change: a job that hasn't begun after 150 s, its image's fetch included, goes first; one of a class without aims goes first again after 300 s and is never too late.

--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -14,7 +14,6 @@
 	"postpoint/internal/ledger"
 	"postpoint/internal/planner"
 	"postpoint/internal/protocol"
-	"postpoint/internal/settings"
 )
 
 // planTasks bounds how many tasks of one job a single plan starts.
@@ -220,7 +219,7 @@
 		pj := planner.Job{ID: j.Spec.ID, Spec: &j.Spec, Rank: protocol.RankOf(j.Spec.Rank), SubmittedAt: j.SubmittedAt,
 			Returning: j.returning, Waiting: now < j.notBefore, MayEvict: j.failures < 3, Avoid: j.avoid}
 		pj.Tier, pj.SlackS = d.aims(j)
-		pj.StartAim = d.startsSoon(j.Spec.Class)
+		pj.StartAim = d.startAim(j.Spec.Class) > 0
 		if missing := j.PendingCount() > 0; missing && (!j.Spec.Gang() || len(j.Placed) == 0 || d.completable(j)) {
 			pj.Limit = j.Room(limit)
 			pj.Pending = j.Pending(min(planTasks, pj.Limit))
@@ -241,11 +240,32 @@
 	return s
 }
 
-// startsSoon tells that there is an aim for the starts of a class.
+// startAim is the shortest time in which a class is expected to start, 0 if there
+// is no aim for its starts.
+func (d *Dispatch) startAim(class string) float64 {
+	shortest := 0.0
+	for _, o := range d.set.Deployment.Objectives {
+		if o.Kind == "wait" && o.Class == class && (shortest == 0 || o.WithinS < shortest) {
+			shortest = o.WithinS
+		}
+	}
+	return shortest
+}
+
+// startsSoon tells that a class is to start sooner than a machine boots: only
+// places that are there already can do that.
 func (d *Dispatch) startsSoon(class string) bool {
-	return slices.ContainsFunc(d.set.Deployment.Objectives, func(o settings.Objective) bool { return o.Kind == "wait" && o.Class == class })
+	boot := 0.0
+	for _, t := range d.catalogue {
+		boot = max(boot, t.BootS)
+	}
+	aim := d.startAim(class)
+	return aim > 0 && aim < soonBoots*boot
 }
 
+// soonBoots allows for boots that take longer than usual.
+const soonBoots = 1.5
+
 // sparePrefix marks places that are kept free; no job's id begins like this.
 const sparePrefix = "spare/"
 
@@ -297,43 +317,75 @@
 // against the times at hand.
 func (d *Dispatch) aims(j *job) (planner.Tier, float64) {
 	age := (d.mailbox.OfDay() - clock.Micros(j.SubmittedAt)).Seconds()
+	begun := len(j.Placed)+j.Done.Len() > 0
 	tier := planner.TooLate
-	var dues []float64
+	// What may pass until the tasks must run, aim by aim.
+	var slacks []float64
+	latest := 0.0
+	ends := func(due float64) {
+		slacks = append(slacks, due-j.Spec.EstimateS-age)
+		latest = max(latest, due)
+	}
 	if j.Spec.DeadlineS != nil {
-		dues = append(dues, *j.Spec.DeadlineS)
+		ends(*j.Spec.DeadlineS)
 	}
 	for _, o := range d.set.Deployment.Objectives {
 		if o.Class != j.Spec.Class {
 			continue
 		}
 		switch {
-		case o.Kind == "wait" && age < o.WithinS && len(j.Placed)+j.Done.Len() == 0:
+		case o.Kind == "wait" && !begun && age < o.WithinS:
 			tier = planner.StartsInTime
 		case o.Kind == "finished":
-			dues = append(dues, o.WithinS)
+			ends(o.WithinS)
 		case o.Kind == "deadline" && o.Times > 0 && j.Spec.DeadlineS != nil:
-			dues = append(dues, *j.Spec.DeadlineS*o.Times)
+			ends(*j.Spec.DeadlineS * o.Times)
 		}
 	}
-	if len(dues) == 0 {
-		dues = append(dues, j.Spec.EstimateS+defaultSlackS)
+	// A class of whose end nothing is expected is never too late for it either,
+	// and would give way for ever.
+	if latest == 0 {
+		ends(j.Spec.EstimateS + defaultSlackS)
+		tier = min(tier, planner.EndsInTime)
+		if age > 2*longWaitS {
+			tier = planner.StartsInTime
+		}
+	}
+	if !begun && age+j.Spec.ImageGB*d.slowestFetchS(&j.Spec) > longWaitS {
+		tier = planner.StartsInTime
 	}
-	slices.Sort(dues)
-	slack := 0.0
-	for _, due := range dues {
-		slack = due - j.Spec.EstimateS - age
+	slices.Sort(slacks)
+	for _, slack := range slacks {
 		if slack >= 0 {
 			return min(tier, planner.EndsInTime), slack
 		}
 	}
-	if -slack > dues[len(dues)-1] {
+	slack := slacks[len(slacks)-1]
+	if -slack > latest {
 		return min(tier, planner.EndsInTime), slack // it has given way for long enough
 	}
 	return tier, slack
 }
 
-// defaultSlackS is for jobs of which nothing is expected.
-const defaultSlackS = 120
+// slowestFetchS is how long a GB of image takes on the slowest type that the job
+// may use, in seconds.
+func (d *Dispatch) slowestFetchS(s *protocol.JobSpec) float64 {
+	slowest := 0.0
+	for _, t := range d.catalogue {
+		if t.FetchGBPerS > 0 && planner.Needs(s).Fits(fleet.Whole(t)) && (len(s.Types) == 0 || slices.Contains(s.Types, t.Name)) {
+			slowest = max(slowest, 1/t.FetchGBPerS)
+		}
+	}
+	return slowest
+}
+
+const (
+	// defaultSlackS is for jobs of whose end nothing is expected.
+	defaultSlackS = 120
+	// longWaitS is when a job that hasn't begun goes first, its image's fetch
+	// included: users count on every job to begin within four minutes.
+	longWaitS = 150
+)
 
 // leftOn adds to the machines that a gang avoids those that still report an
 // ended task of the try that it may be completed with: a start of the same
