Patient arrays leave cold places to jobs whose image is there; guarantee by job

Change: within a rank, jobs that can wait first take only warm places; what is left goes in the old order. A job is within its guarantee with the team's earlier jobs, as the users count it.

--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -209,7 +209,6 @@
 		team.Used = team.Used.Plus(needs.Times(float64(len(j.Placed))))
 		if !j.Final() {
 			left := needs.Times(float64(j.Spec.Tasks - j.Done.Len()))
-			team.Unfinished = team.Unfinished.Plus(left)
 			team.BacklogS += j.Spec.EstimateS * left.Share(team.Limit)
 		}
 		s.Teams[j.Spec.Team] = team
@@ -234,6 +233,7 @@
 		pj.Running = d.runningTasks(j, now)
 		s.Jobs = append(s.Jobs, pj)
 	}
+	d.markWithin(&s)
 	hurry(&s)
 	s.Jobs = append(s.Jobs, d.expected()...)
 	markBorrowed(&s)
@@ -438,6 +438,43 @@
 	return j.running
 }
 
+// markWithin marks the jobs that fit into their teams' guarantees together with
+// the teams' earlier ones.
+func (d *Dispatch) markWithin(s *planner.Snapshot) {
+	left := map[string]planner.Amounts{}
+	for name, t := range s.Teams {
+		if t.Guarantee.Cpus > 0 || t.Guarantee.Gpus > 0 {
+			left[name] = t.Guarantee
+		}
+	}
+	if len(left) == 0 {
+		return
+	}
+	for _, j := range youngestFirst(s, -1) {
+		room, guaranteed := left[j.Spec.Team]
+		if !guaranteed {
+			continue
+		}
+		all := planner.Needs(j.Spec).Times(float64(j.Spec.Tasks - d.jobs[j.ID].Done.Len()))
+		g := s.Teams[j.Spec.Team].Guarantee
+		j.Within = (g.Cpus == 0 || all.Cpus <= room.Cpus+1e-6) && (g.Gpus == 0 || all.Gpus <= room.Gpus+1e-6)
+		left[j.Spec.Team] = room.Minus(all)
+	}
+}
+
+// youngestFirst are the snapshot's jobs by their submission; a sign of -1 gives
+// the oldest first.
+func youngestFirst(s *planner.Snapshot, sign int) []*planner.Job {
+	order := make([]*planner.Job, len(s.Jobs))
+	for i := range s.Jobs {
+		order[i] = &s.Jobs[i]
+	}
+	slices.SortFunc(order, func(a, b *planner.Job) int {
+		return sign * cmp.Or(cmp.Compare(b.SubmittedAt, a.SubmittedAt), cmp.Compare(b.ID, a.ID))
+	})
+	return order
+}
+
 // markBorrowed marks, youngest jobs first, what teams run beyond their
 // guarantees. Without any guarantee there is nobody to return it to.
 func markBorrowed(s *planner.Snapshot) {
@@ -450,12 +487,7 @@
 	if !guaranteed {
 		return
 	}
-	order := make([]*planner.Job, len(s.Jobs))
-	for i := range s.Jobs {
-		order[i] = &s.Jobs[i]
-	}
-	slices.SortFunc(order, func(a, b *planner.Job) int { return cmp.Compare(b.SubmittedAt, a.SubmittedAt) })
-	for _, j := range order {
+	for _, j := range youngestFirst(s, 1) {
 		g := s.Teams[j.Spec.Team].Guarantee
 		for i := range j.Running {
 			left := excess[j.Spec.Team]
--- a/internal/planner/evict.go
+++ b/internal/planner/evict.go
@@ -20,7 +20,7 @@
 // is judged by placing the tasks on the machines as they would be, since freed
 // pieces that are scattered can add up without holding a single task.
 func (p *planning) evict(j *Job, jobs []Job, n int) bool {
-	if t := p.teams[j.Spec.Team]; p.lowest <= j.Rank && !(p.borrowed && t != nil && t.within()) {
+	if p.lowest <= j.Rank && !(p.borrowed && j.Within) {
 		return false // nothing that runs has to yield
 	}
 	chosen := p.shrink(j, jobs, n)
@@ -70,8 +70,7 @@
 	if v.Rank > j.Rank {
 		return true
 	}
-	t := p.teams[j.Spec.Team]
-	return r.Borrowed && v.Spec.Team != j.Spec.Team && t != nil && t.within()
+	return r.Borrowed && v.Spec.Team != j.Spec.Team && j.Within
 }
 
 // shrink takes tasks from lower arrays as evenly as possible, the youngest
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"iter"
 	"slices"
 
 	"postpoint/internal/protocol"
@@ -129,6 +130,9 @@
 	// Waiting jobs hold back after failures; they neither start nor evict.
 	Waiting  bool
 	MayEvict bool
+	// Within tells that the job fits into its team's guarantee together with the
+	// team's earlier jobs, so that it needn't wait for other teams.
+	Within bool
 	// StartAim tells that its class is expected to start soon.
 	StartAim bool
 	// Tier and then SlackS order jobs of one rank: see Tier's values.
@@ -154,10 +158,9 @@
 
 // Team is what a team may and does use.
 type Team struct {
-	Limit      Amounts // 0: none
-	Guarantee  Amounts
-	Used       Amounts
-	Unfinished Amounts // what all its unfinished jobs together would take
+	Limit     Amounts // 0: none
+	Guarantee Amounts
+	Used      Amounts
 	// BacklogS is how long its unfinished work takes at least, in seconds, when
 	// it always uses all that its limit allows.
 	BacklogS float64
@@ -169,14 +172,6 @@
 		(t.Limit.Gpus == 0 || t.Used.Gpus+k*a.Gpus <= t.Limit.Gpus+slack)
 }
 
-// within tells that all that the team has fits into its guarantee, so that
-// its jobs needn't wait for other teams.
-func (t *Team) within() bool {
-	any := t.Guarantee.Cpus > 0 || t.Guarantee.Gpus > 0
-	return any && (t.Guarantee.Cpus == 0 || t.Unfinished.Cpus <= t.Guarantee.Cpus+slack) &&
-		(t.Guarantee.Gpus == 0 || t.Unfinished.Gpus <= t.Guarantee.Gpus+slack)
-}
-
 type Snapshot struct {
 	Jobs     []Job
 	Machines []Machine
@@ -221,6 +216,9 @@
 	lowest   int
 	borrowed bool
 	leaving  []victim // what is being stopped already
+	// stopping tells that room is being made: it is awaited before more is made,
+	// or one shortage would evict again and again.
+	stopping bool
 }
 
 // Make plans for the snapshot, which it leaves unchanged.
@@ -241,32 +239,69 @@
 	jobs := slices.Clone(s.Jobs)
 	slices.SortFunc(jobs, p.before)
 	p.survey(jobs)
-	// Room that is being made already is awaited before more is made, or one
-	// shortage would evict again and again.
-	stopping := len(p.leaving) > 0
-	for i := range jobs {
-		j := &jobs[i]
-		if j.Waiting || len(j.Pending) == 0 {
-			continue
+	for i := 0; i < len(jobs); {
+		end := i + 1
+		for end < len(jobs) && jobs[end].Rank == jobs[i].Rank {
+			end++
 		}
-		wanted, placed := p.place(j)
-		if placed == wanted {
-			continue
-		}
-		if j.MayEvict {
-			if !stopping && p.evict(j, jobs, wanted-placed) {
-				stopping = true
-				continue
+		// Jobs that can wait leave places where they would wait for an image to
+		// jobs of their rank that have it there.
+		for _, j := range inPlace(jobs[i:end]) {
+			if j.patient() {
+				p.place(j, true)
+			} else {
+				p.serve(j, jobs)
 			}
-			if stopping && p.reserve(j, wanted-placed) {
-				continue
+		}
+		for _, j := range inPlace(jobs[i:end]) {
+			if j.patient() {
+				p.serve(j, jobs)
 			}
 		}
-		p.plan.Wants = append(p.plan.Wants, Want{j, wanted - placed})
+		i = end
 	}
 	return p.plan
 }
 
+// inPlace goes through the jobs that have anything to start.
+func inPlace(jobs []Job) iter.Seq2[int, *Job] {
+	return func(yield func(int, *Job) bool) {
+		for i := range jobs {
+			if j := &jobs[i]; !j.Waiting && len(j.Pending) > 0 && !yield(i, j) {
+				return
+			}
+		}
+	}
+}
+
+// serve starts what it can of a job, makes room for the rest if it may, and
+// notes what found none.
+func (p *planning) serve(j *Job, jobs []Job) {
+	wanted, placed := p.place(j, false)
+	if placed == wanted {
+		return
+	}
+	if j.MayEvict {
+		if !p.stopping && p.evict(j, jobs, wanted-placed) {
+			p.stopping = true
+			return
+		}
+		if p.stopping && p.reserve(j, wanted-placed) {
+			return
+		}
+	}
+	p.plan.Wants = append(p.plan.Wants, Want{j, wanted - placed})
+}
+
+// patient tells that a job loses nothing by waiting for places that have its
+// image.
+func (j *Job) patient() bool {
+	return !j.Spec.Gang() && !j.Within && !j.Returning && j.Tier != StartsInTime && (j.Tier == TooLate || j.SlackS > patientS)
+}
+
+// patientS is more than what fetching an image mostly takes, in seconds.
+const patientS = 30
+
 // survey looks once at all that runs, for what every waiting job would ask.
 func (p *planning) survey(jobs []Job) {
 	for i := range jobs {
@@ -275,6 +310,7 @@
 			p.borrowed = p.borrowed || r.Borrowed
 			if r.Stopping {
 				p.leaving = append(p.leaving, victim{j, r})
+				p.stopping = true
 			}
 		}
 		if len(j.Running) > 0 {
@@ -287,19 +323,13 @@
 // who lent room, then by which aims can still be met, then the order of
 // submission, which stopped jobs keep.
 func (p *planning) before(a, b Job) int {
-	first := func(j Job) int {
-		if t := p.teams[j.Spec.Team]; t != nil && t.within() {
-			return 0
-		}
-		return 1
-	}
-	lent := func(j Job) int {
-		if j.Returning {
+	first := func(yes bool) int {
+		if yes {
 			return 0
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(first(a), first(b)), cmp.Compare(lent(a), lent(b)),
+	return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(first(a.Within), first(b.Within)), cmp.Compare(first(a.Returning), first(b.Returning)),
 		cmp.Compare(a.Tier, b.Tier), p.inTier(a, b),
 		cmp.Compare(a.SubmittedAt, b.SubmittedAt), cmp.Compare(a.ID, b.ID))
 }
@@ -317,8 +347,9 @@
 	return 0
 }
 
-// place starts what fits and says how many tasks should run and how many do.
-func (p *planning) place(j *Job) (wanted, placed int) {
+// place starts what fits, or only where the image is, and says how many tasks
+// should run and how many do. What it has started is no longer pending.
+func (p *planning) place(j *Job, warm bool) (wanted, placed int) {
 	team := p.teams[j.Spec.Team]
 	needs := Needs(j.Spec)
 	if j.Spec.Gang() {
@@ -342,7 +373,14 @@
 		return n, n
 	}
 	zones := zonesOf(j)
-	room := p.choices(j, p.candidates(j, false))
+	candidates := p.candidates(j, false)
+	if warm {
+		candidates = slices.DeleteFunc(candidates, func(m *Machine) bool { return m.Booting || m.ImageS(j.Spec) > 0 })
+		if len(candidates) == 0 {
+			return 0, 0
+		}
+	}
+	room := p.choices(j, candidates)
 	j.Running = slices.Clip(j.Running) // the snapshot's own array stays as it is
 	for _, task := range j.Pending[:min(len(j.Pending), j.Limit)] {
 		if team != nil && !team.allows(needs, 1) {
@@ -351,6 +389,9 @@
 		wanted++
 		m := room.best(zones)
 		if m == nil {
+			if warm {
+				break
+			}
 			continue
 		}
 		zones[m.Zone]++
@@ -358,6 +399,10 @@
 		room.taken()
 		placed++
 	}
+	if warm {
+		j.Limit -= placed
+		j.Pending = j.Pending[placed:]
+	}
 	return wanted, placed
 }
 
