--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -347,7 +347,7 @@
 	if latest == 0 {
 		ends(j.Spec.EstimateS + defaultSlackS)
 		tier = min(tier, planner.EndsInTime)
-		if age > 2*longWaitS {
+		if age > 3*longWaitS {
 			tier = planner.StartsInTime
 		}
 	}
