--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -126,37 +126,44 @@
 	return best != nil
 }
 
-// cordon spares one more machine if there is one too many, and empties those
-// that have been spared for a while.
+// cordon spares machines of which there are too many, and empties those that have
+// been spared for a while. Each look costs a plan, so that their number depends on
+// what a plan costs.
 func (d *Dispatch) cordon() {
 	if len(d.catalogue) == 0 {
 		return
 	}
+	tries := max(cordonTries, min(len(d.roster)/8, int(cordonCost/max(d.stepCost(), 1))))
+	s := d.snapshot()
 	for _, m := range d.roster {
-		if m.cordoned && !m.releasing && d.now() > m.cordonedAt+cordonTime && d.movable(m) && d.spares(m) {
-			slog.Info("moving tasks off a machine that can be spared", "machine", m.name, "type", m.typ, "spot", m.spot)
-			for id, tasks := range inOrder(m.placed) {
-				for task := range inOrder(tasks) {
-					d.stop(d.jobs[id], task, "spared", "")
-				}
+		if !m.cordoned || m.releasing || d.now() <= m.cordonedAt+cordonTime || !d.movable(m) || tries == 0 {
+			continue
+		}
+		tries--
+		rest, ok := fleet.Spares(s, m.name)
+		if !ok {
+			continue
+		}
+		s = rest
+		slog.Info("moving tasks off a machine that can be spared", "machine", m.name, "type", m.typ, "spot", m.spot)
+		for id, tasks := range inOrder(m.placed) {
+			for task := range inOrder(tasks) {
+				d.stop(d.jobs[id], task, "spared", "")
 			}
-			return
 		}
 	}
-	if name := fleet.Cordon(d.snapshot()); name != "" {
+	for _, name := range fleet.Cordon(s, tries) {
 		m := d.machines[name]
 		m.cordoned, m.cordonedAt = true, d.now()
 		slog.Debug("machine can be spared", "machine", name, "type", m.typ)
 	}
 }
 
-// spares asks again whether a cordoned machine's tasks have room elsewhere.
-func (d *Dispatch) spares(m *machine) bool {
-	m.cordoned = false
-	s := d.snapshot()
-	m.cordoned = true
-	return fleet.Spares(s, m.name)
-}
+const (
+	cordonTries = 4
+	// cordonCost is what looking for machines to spare may cost at a time.
+	cordonCost = 12 * clock.Millisecond
+)
 
 // movable tells that all tasks on a machine can be stopped without losing
 // progress, have run for so long that their starts count, and are not likely to
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -283,11 +283,12 @@
 	return false
 }
 
-// Cordon names a machine that can be spared: the costliest one without which
-// everything that runs and waits would still have room, its own tasks included.
-// It takes no new tasks, so that it empties and can be returned; it is only a
-// proposal, taken back when it is needed. It is "" if none can be spared.
-func Cordon(s planner.Snapshot) string {
+// Cordon names machines that can be spared, the costliest first: without them
+// everything that runs and waits would still have room, their own tasks included.
+// They take no new tasks, so that they empty and can be returned; it is only a
+// proposal, taken back when they are needed. It looks at no more than the given
+// number of machines, each of which costs a plan.
+func Cordon(s planner.Snapshot, tries int) []string {
 	var order []planner.Machine
 	for _, m := range s.Machines {
 		if !m.Booting && idleShare(m) > spareShare {
@@ -297,24 +298,23 @@
 	slices.SortFunc(order, func(a, b planner.Machine) int {
 		return cmp.Or(cmp.Compare(b.Price*idleShare(b), a.Price*idleShare(a)), cmp.Compare(a.Name, b.Name))
 	})
-	for _, m := range order[:min(len(order), cordonTries)] {
-		if Spares(s, m.Name) {
-			return m.Name
+	var names []string
+	for _, m := range order[:min(len(order), tries)] {
+		if rest, ok := Spares(s, m.Name); ok {
+			names, s = append(names, m.Name), rest
 		}
 	}
-	return ""
+	return names
 }
 
-// Spares tells whether all that runs and waits would have room without a
-// machine, its own tasks included.
-func Spares(s planner.Snapshot, machine string) bool {
-	return len(planner.Make(without(s, machine)).Wants) == 0
+// Spares tells whether all that runs and waits would have room without a machine,
+// its own tasks included, and gives the snapshot as it is without it.
+func Spares(s planner.Snapshot, machine string) (planner.Snapshot, bool) {
+	rest := without(s, machine)
+	return rest, len(planner.Make(rest).Wants) == 0
 }
 
-const (
-	spareShare  = 0.4
-	cordonTries = 4
-)
+const spareShare = 0.4
 
 func idleShare(m planner.Machine) float64 { return 1 - m.Whole.Minus(m.Free).Share(m.Whole) }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -582,6 +582,10 @@
 	heap.Fix(c, 0)
 }
 
+// spotRisk is the part of its run that a task without checkpoints is taken to lose
+// on a spot machine, which may be taken back.
+const spotRisk = 0.1
+
 // bootRiskS is for machines that take longer to boot than they should, in seconds.
 const bootRiskS = 10
 
@@ -595,6 +599,9 @@
 	}
 	needs := Needs(j.Spec)
 	s += m.Slow * j.Spec.EstimateS
+	if m.Spot && j.Spec.CheckpointS == 0 {
+		s += spotRisk * j.Spec.EstimateS
+	}
 	s += 10 * m.Price * needs.Share(m.Whole)
 	s += 5 * m.Free.Minus(needs).Share(m.Whole)
 	return s
