--- a/internal/testkit/cloud.go
+++ b/internal/testkit/cloud.go
@@ -18,6 +18,9 @@
 	Types    []protocol.MachineType
 	Capacity map[fleet.Kind]int
 	Outage   bool
+	Calls    int
+	// Boots is how long machines take at the most.
+	Boots clock.Micros
 	bookings map[string][]string
 	machines map[string]*Worker
 	all      []*Worker
@@ -25,7 +28,7 @@
 }
 
 func newCloud(d *Deployment, types []protocol.MachineType) *Cloud {
-	c := &Cloud{w: d.World, d: d, Types: types, Capacity: map[fleet.Kind]int{}, bookings: map[string][]string{}, machines: map[string]*Worker{}}
+	c := &Cloud{w: d.World, d: d, Types: types, Capacity: map[fleet.Kind]int{}, bookings: map[string][]string{}, machines: map[string]*Worker{}, Boots: 15 * clock.Second}
 	for _, t := range types {
 		for _, z := range t.Zones {
 			c.Capacity[fleet.Kind{Type: t.Name, Zone: z, Spot: true}] = 2
@@ -69,6 +72,7 @@
 
 func (x *cloudClient) call(done func(int), execute func() int) {
 	x.l.call(x.p, cloudTime, func(answer func(func())) {
+		x.c.Calls++
 		status := http.StatusServiceUnavailable
 		if !x.c.Outage {
 			status = execute()
--- a/internal/testkit/deployment.go
+++ b/internal/testkit/deployment.go
@@ -1,8 +1,11 @@
 package testkit
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 
 	"postpoint/internal/clock"
@@ -24,6 +27,8 @@
 	cancelled clock.Micros
 	wantsEnd  bool
 	heardAt   clock.Micros // when its user last got an answer
+	submitted clock.Micros
+	began     clock.Micros // when its first task had its image
 	gone      map[int]bool // completed tasks
 	places    map[int]map[*Worker]bool
 }
@@ -54,11 +59,14 @@
 	Loss     float64
 	jobs     map[string]*Job
 	order    []*Job
+	byAddr   map[string]*Worker
+	used     map[string]planner.Amounts // by team, on machines
+	Commands int                        // direct ones
 }
 
 // NewDeployment starts three nodes.
 func NewDeployment(w *World, set *settings.Settings, types []protocol.MachineType, loss float64) *Deployment {
-	d := &Deployment{World: w, Settings: set, State: NewState(w), Loss: loss, jobs: map[string]*Job{}}
+	d := &Deployment{World: w, Settings: set, State: NewState(w), Loss: loss, jobs: map[string]*Job{}, byAddr: map[string]*Worker{}, used: map[string]planner.Amounts{}}
 	d.Cloud = newCloud(d, types)
 	for i := range 3 {
 		n := &Node{Name: fmt.Sprintf("worker-%d", i)}
@@ -168,6 +176,7 @@
 // repeat the submission.
 func (d *Deployment) Submit(spec protocol.JobSpec, run clock.Micros, mistaken bool) *Job {
 	j := &Job{spec: spec, run: run, mistaken: mistaken, gone: map[int]bool{}, places: map[int]map[*Worker]bool{}}
+	j.submitted = d.World.now
 	d.jobs[spec.ID] = j
 	d.order = append(d.order, j)
 	d.submit(j)
@@ -277,28 +286,26 @@
 	if !planner.Allowed(&j.spec, m.typ, m.zone, m.spot) || !planner.ZoneAllowed(&j.spec, zones, m.zone) {
 		d.World.Break("wrong_place", "%s/%d on %s %s", k.job, k.task, m.typ, m.zone)
 	}
+	if j.began == 0 {
+		j.began = d.World.now
+	}
 	if j.places[k.task] == nil {
 		j.places[k.task] = map[*Worker]bool{}
 	}
 	j.places[k.task][m] = true
-	used := planner.Amounts{}
-	for _, o := range d.order {
-		if o.spec.Team != j.spec.Team {
-			continue
-		}
-		for _, ws := range o.places {
-			for range ws {
-				used = used.Plus(o.needs())
-			}
-		}
-	}
+	used := d.used[j.spec.Team].Plus(j.needs())
+	d.used[j.spec.Team] = used
 	team, _ := d.Settings.Deployment.Team(j.spec.Team)
 	if team.CpusMax > 0 && used.Cpus > team.CpusMax+1e-6 || team.GpusMax > 0 && used.Gpus > team.GpusMax+1e-6 {
 		d.World.Break("quota", "%s uses %v", j.spec.Team, used)
 	}
 }
 
-func (d *Deployment) left(k taskKey, m *Worker) { delete(d.jobs[k.job].places[k.task], m) }
+func (d *Deployment) left(k taskKey, m *Worker) {
+	j := d.jobs[k.job]
+	delete(j.places[k.task], m)
+	d.used[j.spec.Team] = d.used[j.spec.Team].Minus(j.needs())
+}
 
 type member struct {
 	m *Worker
@@ -307,9 +314,9 @@
 
 func (d *Deployment) gang(j *Job, try int64) []member {
 	var all []member
-	for _, m := range d.sortedWorkers() {
-		for _, t := range m.tasks {
-			if t.job == j.spec.ID && t.try == try && t.onIt {
+	for n := range j.spec.Tasks {
+		for m := range j.places[n] {
+			if t := m.find(taskKey{j.spec.ID, n}, try); t != nil && t.onIt {
 				all = append(all, member{m, t})
 			}
 		}
@@ -349,15 +356,21 @@
 
 // checkGangs ends running gangs that have lost a task.
 func (d *Deployment) checkGangs() {
-	for _, m := range d.sortedWorkers() {
-		for _, t := range m.tasks {
-			j := d.jobs[t.job]
-			if t.onIt && j != nil && j.spec.Gang() && t.status == protocol.TaskRunning && len(d.gang(j, t.try)) < j.spec.Tasks {
-				m.do(func() {
-					if t.status == protocol.TaskRunning {
-						m.exit(t, protocol.CausePeers)
+	for _, j := range d.order {
+		if !j.spec.Gang() || j.Done() {
+			continue
+		}
+		for n := range j.spec.Tasks {
+			for _, m := range sortedKeys(j.places[n]) {
+				for _, t := range m.tasks {
+					if t.taskKey == (taskKey{j.spec.ID, n}) && t.onIt && t.status == protocol.TaskRunning && len(d.gang(j, t.try)) < j.spec.Tasks {
+						m.do(func() {
+							if t.status == protocol.TaskRunning {
+								m.exit(t, protocol.CausePeers)
+							}
+						})
 					}
-				})
+				}
 			}
 		}
 	}
@@ -380,6 +393,11 @@
 	check()
 }
 
+// sortedKeys are the machines of a set by their names.
+func sortedKeys(set map[*Worker]bool) []*Worker {
+	return slices.SortedFunc(maps.Keys(set), func(a, b *Worker) int { return cmp.Compare(a.name, b.name) })
+}
+
 // Jobs gives all jobs in the order of their submission.
 func (d *Deployment) Jobs() []*Job { return d.order }
 
--- a/internal/testkit/state.go
+++ b/internal/testkit/state.go
@@ -38,12 +38,17 @@
 	leaseSeq int64
 	watchers []*watcher
 	outage   bool
-	// Changes counts puts, for tests that bound them.
-	Changes int
+	// Changes and Requests count puts and all requests, for tests that bound them.
+	Changes, Requests int
+	// Kept is how many changes followers may be behind, Page what a list gives at
+	// a time.
+	Kept int64
+	Page int
 }
 
 func NewState(w *World) *State {
-	return &State{w: w, keys: map[string]entry{}, leases: map[int64]*lease{}}
+	// Both are small, so that followers have to read again and lists have pages.
+	return &State{w: w, keys: map[string]entry{}, leases: map[int64]*lease{}, Kept: 12, Page: 7}
 }
 
 // Outage refuses every request; when it is over, leases have their full time.
@@ -168,6 +173,7 @@
 
 func request[T any](c *stateClient, timeout clock.Micros, done func(statestore.Reply[T]), execute func() statestore.Reply[T]) {
 	c.l.call(c.p, timeout, func(answer func(func())) {
+		c.s.Requests++
 		if c.s.outage {
 			answer(func() { done(statestore.Reply[T]{Status: http.StatusServiceUnavailable}) })
 			return
@@ -181,9 +187,6 @@
 	}, func() { done(statestore.Reply[T]{}) })
 }
 
-// keptChanges is small, so that followers fall behind and have to read again.
-const keptChanges = 12
-
 const callTime = 1500 * clock.Millisecond
 
 func (c *stateClient) Get(key string, done func(statestore.Reply[protocol.Item])) {
@@ -197,7 +200,6 @@
 }
 
 func (c *stateClient) List(prefix, from string, done func(statestore.Reply[protocol.ItemList])) {
-	const page = 7 // small, so that paging is exercised
 	request(c, callTime, done, func() statestore.Reply[protocol.ItemList] {
 		var keys []string
 		for k := range c.s.keys {
@@ -206,8 +208,8 @@
 			}
 		}
 		sort.Strings(keys)
-		list := protocol.ItemList{Revision: c.s.revision, More: len(keys) > page}
-		for _, k := range keys[:min(page, len(keys))] {
+		list := protocol.ItemList{Revision: c.s.revision, More: len(keys) > c.s.Page}
+		for _, k := range keys[:min(c.s.Page, len(keys))] {
 			list.Items = append(list.Items, protocol.Item{Key: k, Value: c.s.keys[k].value, Version: c.s.keys[k].version})
 		}
 		return statestore.Reply[protocol.ItemList]{Status: http.StatusOK, Value: list}
@@ -232,7 +234,8 @@
 
 func (c *stateClient) Follow(prefix string, from int64, block clock.Micros, done func(statestore.Reply[protocol.FollowAnswer])) {
 	c.l.call(c.p, block+callTime, func(answer func(func())) {
-		if len(c.s.log) > 0 && c.s.revision-from > keptChanges {
+		c.s.Requests++
+		if len(c.s.log) > 0 && c.s.revision-from > c.s.Kept {
 			answer(func() { done(statestore.Reply[protocol.FollowAnswer]{Status: http.StatusGone}) })
 			return
 		}
--- a/internal/testkit/worker.go
+++ b/internal/testkit/worker.go
@@ -67,10 +67,11 @@
 	m := &Worker{d: d, name: name, addr: name + ":9000", typ: k.Type, zone: k.Zone, spot: k.Spot,
 		status: protocol.MachineStarting, rentedAt: d.World.now, Link: Link{w: d.World, Loss: d.Loss},
 		Commands: Link{w: d.World, Loss: d.Loss}, Late: 2 * d.Loss, forgotten: map[taskRef]bool{}}
+	d.byAddr[m.addr] = m
 	if d.World.chance(0.03) {
 		return m // never comes up
 	}
-	d.World.After(d.World.Between(clock.Second, 15*clock.Second), func() {
+	d.World.After(d.World.Between(clock.Second, d.Cloud.Boots), func() {
 		if m.ended {
 			return
 		}
@@ -462,12 +463,8 @@
 }
 
 func (a *agentClient) Commands(addr string, c protocol.Commands, done func(int, protocol.Report)) {
-	var m *Worker
-	for _, x := range a.d.Cloud.all {
-		if x.addr == addr {
-			m = x
-		}
-	}
+	a.d.Commands++
+	m := a.d.byAddr[addr]
 	a.d.checkLease(a.n, c.Epoch, c.Orders)
 	silent := func() { done(0, protocol.Report{}) }
 	if m == nil || m.Unheeding || a.n.Workers.Cut {
