Records of 2,000 running tasks fit 32 KiB; tests and benchmarks at the grown size

The bound counted a running task's number twice, among the running and the done, though it leaves one list for the other.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -187,3 +187,97 @@
 		t.Fatalf("slowness %v after it has recovered", slow.slowness())
 	}
 }
+
+// A placement read back for a machine that was released meanwhile is gone with it:
+// nothing will ever be heard of that machine again.
+func TestPlacesOnReleasedMachinesAreFree(t *testing.T) {
+	d, j, _, _ := one(t)
+	old := j.Encode()
+	d.gone["m-1"] = true
+	delete(d.machines, "m-1")
+	d.roster = nil
+	j.reread = true
+	d.adopt(ledger.Key("job-1"), old, 6)
+	if len(j.Placed) != 0 || j.NextTry < 2 {
+		t.Fatalf("placed %v, next try %d", j.Placed, j.NextTry)
+	}
+}
+
+// A machine that loses its session though it was answered doesn't hear: it gets
+// no more work until a session outlasts its first lease, and goes the second time.
+func TestUnheedingMachinesGetNoWork(t *testing.T) {
+	d, _, m, box := one(t)
+	d.types["t"] = protocol.MachineType{Name: "t", Cpus: 8}
+	usable := func() bool { _, ok := d.planned(m, box.now); return ok }
+	say := func(shift, counter int64) {
+		r := report(shift, counter)
+		r.Type = "t"
+		d.Beat(r, func(int, any) {})
+	}
+	say(1, 1)
+	if !usable() {
+		t.Fatal("it can't be used to begin with")
+	}
+	box.now += 11 * clock.Second
+	d.term.ValidUntil, d.freshAt = box.now+4*clock.Second, box.now
+	say(1, 2)
+	box.now += 2 * clock.Second
+	say(2, 3) // its lease counts from a report that was answered before
+	if usable() || m.releasing {
+		t.Fatalf("usable %v, releasing %v after one lost session", usable(), m.releasing)
+	}
+	box.now += 14 * clock.Second
+	d.term.RenewedAt, d.term.ValidUntil, d.freshAt = box.now, box.now+4*clock.Second, box.now
+	say(2, 4)
+	if !usable() {
+		t.Fatal("it isn't used again though its session lasts")
+	}
+	m.answeredAt = box.now
+	say(3, 5)
+	m.answeredAt = box.now
+	say(4, 6)
+	if !m.releasing {
+		t.Fatal("it is kept after two lost sessions")
+	}
+}
+
+// As the first that a new leader hears of a machine, a copy of an old report
+// frees no place by what it lacks, and the machine gets no work: only a report
+// that carries the leader's epoch is known to be of its time.
+func TestReportsOfOlderEpochsProveNoAbsence(t *testing.T) {
+	d, j, m, box := one(t)
+	d.types["t"] = protocol.MachineType{Name: "t", Cpus: 8}
+	old := report(1, 5)
+	old.Epoch, old.Type = 6, "t"
+	j.Status = protocol.StatusCancelled
+	d.Beat(old, func(int, any) {})
+	if len(j.Placed) != 1 {
+		t.Fatal("the place was freed")
+	}
+	if _, ok := d.planned(m, box.now); ok {
+		t.Fatal("the machine is used")
+	}
+}
+
+// BenchmarkBeat is a report of eight running tasks that brings no news.
+func BenchmarkBeat(b *testing.B) {
+	box := &still{now: 100 * clock.Second}
+	set := &settings.Settings{}
+	set.Deployment.Workers = settings.Workers{ReportS: 2, LeaseS: 12, GangPeerS: 4, CancelS: 30}
+	d := New(box, nil, nil, nil, set, func(int64) {}, func() {}, nil)
+	d.term.Epoch, d.term.ElectedAt, d.term.RenewedAt, d.term.ValidUntil = 7, box.now, box.now, box.now+4*clock.Second
+	d.jobs, d.machines, d.gone, d.unreadable = map[string]*job{}, map[string]*machine{}, map[string]bool{}, map[string]bool{}
+	d.retired = map[string]int64{}
+	d.loaded, d.freshAt, d.waking = true, box.now, true
+	content := ledger.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeArray, Tasks: 8}, 1)
+	r := report(1, 0)
+	for task := range 8 {
+		content.Placed[task] = ledger.Placement{Task: task, Try: 1, Machine: "m-1", Shift: 1}
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: protocol.TaskName("job-1", task), Try: 1, Status: protocol.TaskRunning})
+	}
+	d.adopt(ledger.Key("job-1"), content.Encode(), 5)
+	for b.Loop() {
+		r.Counter++
+		d.Beat(r, func(int, any) {})
+	}
+}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"flag"
+	"fmt"
 	"os"
 	"slices"
 	"testing"
@@ -152,6 +153,53 @@
 	return len(text)
 }
 
+// wide is a job of 2,000 tasks that can all run at once, eight on a machine.
+func wide(t testing.TB) *Job {
+	const limit = 32 << 10
+	j := New(protocol.JobSpec{ID: "job-000001", Class: "extrase", Team: "evaluare", Shape: protocol.ShapeArray, Rank: "normal", Tasks: 2000}, 1)
+	for range 6 {
+		for _, task := range j.Pending(j.Room(limit)) {
+			// As plans deal them out: neighbours on different machines.
+			j.Placed[task] = Placement{Task: task, Try: 1, Machine: fmt.Sprintf("m-%06d", task%250), Shift: 1}
+		}
+	}
+	return j
+}
+
+// The widest arrays of a grown deployment needn't run in waves for their record's
+// sake, and it stays within the limit as their tasks end one by one.
+func TestWideArraysRunAtOnce(t *testing.T) {
+	j := wide(t)
+	if len(j.Placed) != j.Spec.Tasks {
+		t.Fatalf("%d of %d tasks run", len(j.Placed), j.Spec.Tasks)
+	}
+	for step := range 4 {
+		if size := jsonSize(t, j); size > 32<<10 {
+			t.Fatalf("%d bytes with %d placed and %d done", size, len(j.Placed), j.Done.Len())
+		}
+		for task := step; task < j.Spec.Tasks; task += 4 {
+			delete(j.Placed, task)
+			j.Done.Add(task)
+		}
+	}
+}
+
+func BenchmarkEncodeWide(b *testing.B) {
+	j := wide(b)
+	for b.Loop() {
+		j.Encode()
+	}
+}
+
+func BenchmarkDecodeWide(b *testing.B) {
+	raw := wide(b).Encode()
+	for b.Loop() {
+		if _, err := Decode(raw); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 func BenchmarkEncode(b *testing.B) {
 	j := New(protocol.JobSpec{ID: "job-000001", Tasks: 248}, 1)
 	for task := range 248 {
--- a/internal/ledger/ranges.go
+++ b/internal/ledger/ranges.go
@@ -31,6 +31,16 @@
 
 // Add puts n into the set.
 func (r *Ranges) Add(n int) {
+	if k := len(r.spans); k == 0 || n > r.spans[k-1].hi {
+		// The usual case: numbers come in their order.
+		r.count++
+		if k > 0 && r.spans[k-1].hi == n-1 {
+			r.spans[k-1].hi = n
+		} else {
+			r.spans = append(r.spans, span{n, n})
+		}
+		return
+	}
 	i := r.find(n)
 	if i < len(r.spans) && r.spans[i].lo <= n {
 		return
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -3,7 +3,6 @@
 package ledger
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -75,21 +74,20 @@
 // places are the texts of the placements: one for all tasks with the same try on
 // a machine.
 func (j *Job) places() []string {
-	all := slices.SortedFunc(maps.Values(j.Placed), func(a, b Placement) int {
-		return cmp.Or(cmp.Compare(a.Machine, b.Machine), cmp.Compare(a.Shift, b.Shift), cmp.Compare(a.Try, b.Try), cmp.Compare(a.Task, b.Task))
-	})
-	var texts []string
-	for len(all) > 0 {
-		p := all[0]
-		var tasks Ranges
-		n := 0
-		for n < len(all) && all[n].Machine == p.Machine && all[n].Shift == p.Shift && all[n].Try == p.Try {
-			tasks.Add(all[n].Task)
-			n++
+	groups := make(map[place]*Ranges, len(j.Placed)/4)
+	for _, task := range slices.Sorted(maps.Keys(j.Placed)) { // in order, sets grow at their ends
+		p := j.Placed[task]
+		k := place{p.Machine, p.Shift, p.Try}
+		if groups[k] == nil {
+			groups[k] = &Ranges{}
 		}
-		all = all[n:]
-		texts = append(texts, p.Machine+" "+strconv.FormatInt(p.Shift, 10)+" "+strconv.FormatInt(p.Try, 10)+" "+tasks.String())
+		groups[k].Add(task)
 	}
+	texts := make([]string, 0, len(groups))
+	for k, tasks := range groups {
+		texts = append(texts, k.machine+" "+strconv.FormatInt(k.shift, 10)+" "+strconv.FormatInt(k.try, 10)+" "+tasks.String())
+	}
+	slices.Sort(texts)
 	return texts
 }
 
@@ -139,22 +137,22 @@
 }
 
 // Room is how many more tasks may start before the record could outgrow limit
-// bytes. It assumes the worst: every running task ends up as a span of its own
-// among the done ones and among those that run on, and every new one is alone on
+// bytes. It assumes the worst: every running task ends up as a number of its own,
+// among the done ones or among those that run on, and every new one is alone on
 // its machine.
 func (j *Job) Room(limit int) int {
 	const spec, group, machine = 700, 20, 15
 	s := &j.Spec
 	number := len(strconv.Itoa(s.Tasks)) + 1 // with its comma
 	used := spec + len(s.ID) + len(s.Class) + len(s.Team) + len(s.Image) + len(s.Zone) + len(j.Cause) +
-		len(j.Done.spans)*2*number + len(j.Placed)*2*number + j.groups()*(group+machine)
+		len(j.Done.spans)*2*number + len(j.Placed)*number + j.groups()*(group+machine)
 	for _, t := range s.Types {
 		used += len(t) + 3
 	}
 	for _, l := range j.Lenders {
 		used += len(l) + 3
 	}
-	return max(0, (limit*9/10-used)/(2*number+group+machine))
+	return max(0, (limit*9/10-used)/(number+group+machine))
 }
 
 // groups is how many texts the placements take.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -333,3 +334,167 @@
 		Make(s)
 	}
 }
+
+// drawQueue is a snapshot in which everything that orders the queue and the
+// machines differs, without anything to evict.
+func drawQueue(t *rapid.T) Snapshot {
+	s := drawSnapshot(t)
+	images := []string{"x", "y", "z"}
+	for i := range s.Machines {
+		m := &s.Machines[i]
+		m.Price = float64(rapid.IntRange(1, 4).Draw(t, "price"))
+		m.FetchS = 2
+		m.Images = rapid.SliceOfNDistinct(rapid.SampledFrom(images), 0, 2, rapid.ID[string]).Draw(t, "images")
+		if rapid.IntRange(0, 3).Draw(t, "boots") == 0 && m.Free == m.Whole {
+			m.Booting, m.BootS = true, float64(rapid.IntRange(0, 30).Draw(t, "boot"))
+		}
+	}
+	for i := range s.Jobs {
+		j := &s.Jobs[i]
+		spec := *j.Spec
+		spec.Image, spec.ImageGB, spec.EstimateS = rapid.SampledFrom(images).Draw(t, "image"), 3, 40
+		spec.CheckpointS = float64(10 * rapid.IntRange(0, 1).Draw(t, "saves"))
+		j.Spec = &spec
+		j.MayEvict, j.Rank = false, rapid.IntRange(0, 1).Draw(t, "rank")
+		j.Tier = Tier(rapid.IntRange(0, 2).Draw(t, "tier"))
+		j.SlackS = float64(rapid.IntRange(-50, 100).Draw(t, "slack"))
+		j.Within = rapid.IntRange(0, 4).Draw(t, "within") == 0
+		j.Limit = rapid.IntRange(1, 6).Draw(t, "limit")
+	}
+	return s
+}
+
+// plainPlaces is how Make places without any short cut: every machine is looked at
+// for every task.
+func plainPlaces(s Snapshot) []Place {
+	p := &planning{machines: append([]Machine(nil), s.Machines...), teams: map[string]*Team{}}
+	for name, t := range s.Teams {
+		p.teams[name] = &t
+	}
+	best := func(j *Job, zones map[string]int, only string, ok func(*Machine) bool) *Machine {
+		var found *Machine
+		for i := range p.machines {
+			m := &p.machines[i]
+			if !Needs(j.Spec).Fits(m.Free) || only != "" && m.Zone != only || !Allowed(j.Spec, m.Type, m.Zone, m.Spot) ||
+				!ZoneAllowed(j.Spec, zones, m.Zone) || !ok(m) {
+				continue
+			}
+			if found == nil || score(j, m) < score(j, found) {
+				found = m
+			}
+		}
+		return found
+	}
+	gang := func(j *Job, ok func(*Machine) bool) []*Machine {
+		only := []string{""}
+		if j.Spec.OneZone {
+			only = nil
+			for i := range p.machines {
+				if !slices.Contains(only, p.machines[i].Zone) {
+					only = append(only, p.machines[i].Zone)
+				}
+			}
+		}
+		var cheapest []*Machine
+		lowest := 0.0
+		for _, zone := range only {
+			before := append([]Machine(nil), p.machines...)
+			zones, cost := zonesOf(j), 0.0
+			var places []*Machine
+			for range j.Pending {
+				m := best(j, zones, zone, ok)
+				if m == nil {
+					break
+				}
+				cost += score(j, m)
+				m.Free = m.Free.Minus(Needs(j.Spec))
+				zones[m.Zone]++
+				places = append(places, m)
+			}
+			copy(p.machines, before)
+			if len(places) == len(j.Pending) && (cheapest == nil || cost < lowest) {
+				cheapest, lowest = places, cost
+			}
+		}
+		return cheapest
+	}
+	up := func(m *Machine) bool { return !m.Booting }
+	any := func(*Machine) bool { return true }
+	place := func(j *Job, warm bool) {
+		team := p.teams[j.Spec.Team]
+		if j.Spec.Gang() {
+			if len(j.Pending) > j.Limit || team != nil && !team.allows(Needs(j.Spec), len(j.Pending)) {
+				return
+			}
+			places := gang(j, up)
+			if places == nil {
+				places = gang(j, any)
+			}
+			for i, m := range places {
+				p.take(j, j.Pending[i], m, team)
+			}
+			return
+		}
+		for len(j.Pending) > 0 && j.Limit > 0 && (team == nil || team.allows(Needs(j.Spec), 1)) {
+			zones := zonesOf(j)
+			m := best(j, zones, "", func(m *Machine) bool { return !warm || !m.Booting && m.ImageS(j.Spec) == 0 })
+			if m == nil {
+				return
+			}
+			p.take(j, j.Pending[0], m, team)
+			j.Pending, j.Limit = j.Pending[1:], j.Limit-1
+		}
+	}
+	jobs := append([]Job(nil), s.Jobs...)
+	slices.SortFunc(jobs, p.before)
+	for rank := range 4 {
+		for _, patience := range []bool{false, true} {
+			for i := range jobs {
+				if j := &jobs[i]; j.Rank == rank && len(j.Pending) > 0 && (!patience || j.patient()) {
+					place(j, !patience && j.patient())
+				}
+			}
+		}
+	}
+	return p.plan.Places
+}
+
+// The short cuts for many machines and alike tasks change no decision.
+func TestPlacementsAreThePlainOnes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawQueue(t)
+		got, want := Make(s).Places, plainPlaces(s)
+		if !slices.Equal(got, want) {
+			t.Fatalf("placed %v, plainly %v", got, want)
+		}
+	})
+}
+
+// grown is a snapshot of the size of a grown deployment: hundreds of machines,
+// most of them full, and jobs that wait.
+func grown() Snapshot {
+	s := Snapshot{Machines: machines(650, 16, 16)}
+	for i := range s.Machines {
+		s.Machines[i].Name = fmt.Sprintf("m-%06d", i)
+		s.Machines[i].FetchS = 2
+		if i%8 != 0 {
+			s.Machines[i].Free = Amounts{Cpus: 1}
+		}
+	}
+	for i := range 20 {
+		s.Jobs = append(s.Jobs, array(fmt.Sprint("job-a", i), 2, 400, 1))
+	}
+	for i := range 80 {
+		j := array(fmt.Sprint("job-g", i), 2, 2+i%15, 15)
+		j.Spec.Shape = protocol.ShapeGang
+		s.Jobs = append(s.Jobs, j)
+	}
+	return s
+}
+
+func BenchmarkMakeGrown(b *testing.B) {
+	s := grown()
+	for b.Loop() {
+		Make(s)
+	}
+}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -45,3 +45,18 @@
 		}
 	}
 }
+
+// BenchmarkDecodeReport is what every report costs before it is looked at.
+func BenchmarkDecodeReport(b *testing.B) {
+	r := Report{Machine: "m-000231", Address: "10.1.0.232:9000", Type: "g8", Zone: "a", Shift: 1, Counter: 88, Epoch: 41}
+	for task := range 8 {
+		r.Tasks = append(r.Tasks, TaskReport{Task: TaskName("job-000412", task), Try: 2, Status: TaskRunning})
+	}
+	raw := Encode(r)
+	for b.Loop() {
+		var again Report
+		if err := Decode(raw, &again); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/testkit/cloud.go
+++ b/internal/testkit/cloud.go
@@ -20,7 +20,7 @@
 	Outage   bool
 	Calls    int
 	// Boots is how long machines take at the most.
-	Boots clock.Micros
+	Boots    clock.Micros
 	bookings map[string][]string
 	machines map[string]*Worker
 	all      []*Worker
