Tests: gangs whole for booting machines, released machines, plans counted

Each guard of this issue was removed in turn and the tests run; three weren't noticed: the rule that returned machines which never take the epoch (others do the same, so it is gone), the whole gang and the answer to released machines (new tests). The overview tells how many plans a leader has made.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -56,6 +56,7 @@
 	freshAt    clock.Micros // everything in the records before this is known
 	waking     bool
 	nextStep   clock.Micros // not before, see stepCost
+	plans      int
 	committing bool
 	pauseUntil clock.Micros // after a refusal of the state service
 	renting    fleetState
@@ -174,7 +175,6 @@
 	// are answered: answers don't reach them.
 	unheeding    bool
 	challengedAt clock.Micros // when it was last asked whether it has started over
-	heardFirst   clock.Micros // when it was first heard of in this term
 
 	listed    bool
 	firstSeen clock.Micros
@@ -299,7 +299,7 @@
 	d.jobs, d.machines, d.roster, d.gone = map[string]*job{}, map[string]*machine{}, nil, map[string]bool{}
 	d.unreadable, d.retired = map[string]bool{}, map[string]int64{}
 	d.loaded, d.committing, d.waking, d.shared = false, false, false, false
-	d.freshAt = 0
+	d.freshAt, d.plans = 0, 0
 	d.renting = newFleetState(d.set.Deployment.Cloud.Rps)
 	d.load(d.term.Epoch, "", 0, d.now())
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -201,6 +201,13 @@
 	if len(j.Placed) != 0 || j.NextTry < 2 {
 		t.Fatalf("placed %v, next try %d", j.Placed, j.NextTry)
 	}
+	// What is still heard of it is old, and brings nothing back.
+	delete(d.machines, "m-1")
+	status := 0
+	d.Beat(report(1, 7), func(s int, _ any) { status = s })
+	if status != 421 || d.machines["m-1"] != nil {
+		t.Fatalf("answered %d, known %v", status, d.machines["m-1"] != nil)
+	}
 }
 
 // A machine that loses its session though it was answered doesn't hear: it gets
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -79,10 +79,6 @@
 			d.release(m, "never came up")
 		case !m.seen && m.status == protocol.MachineRunning && now > m.firstSeen+max(boot, w.Lease())+30*clock.Second:
 			d.release(m, "up but never reported")
-		case m.seen && !m.expired && len(m.placed) == 0 && !d.synced(m) && now > m.heardFirst+w.Lease()+20*clock.Second &&
-			now > d.term.ElectedAt+w.KeepAlive()+w.Lease():
-			// Or it is only late copies that speak for it.
-			d.release(m, "it doesn't take this leader's epoch")
 		case m.quarantine && len(m.placed) == 0:
 			d.release(m, "set aside")
 		}
--- a/internal/dispatch/overview.go
+++ b/internal/dispatch/overview.go
@@ -11,6 +11,7 @@
 	Leader   string          `json:"leader"`
 	Leads    bool            `json:"leads"`
 	Epoch    int64           `json:"epoch,omitempty"`
+	Plans    int             `json:"plans,omitempty"` // made in this term
 	Classes  []ClassOverview `json:"classes,omitempty"`
 	Machines []KindOverview  `json:"machines,omitempty"`
 	Failing  []FailingJob    `json:"failing,omitempty"`
@@ -46,7 +47,7 @@
 func (d *Dispatch) Overview(reply func(any)) { d.mailbox.Post(func() { reply(d.overview()) }) }
 
 func (d *Dispatch) overview() Overview {
-	o := Overview{Node: d.set.Node, Leader: d.leader, Leads: d.leads(), Epoch: d.term.Epoch}
+	o := Overview{Node: d.set.Node, Leader: d.leader, Leads: d.leads(), Epoch: d.term.Epoch, Plans: d.plans}
 	classes := map[string]ClassOverview{}
 	for _, j := range inOrder(d.jobs) {
 		c := classes[j.Spec.Class]
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -67,7 +67,7 @@
 	}
 	if !m.seen {
 		slog.Info("machine reports", "machine", m.name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "tasks", len(r.Tasks))
-		m.idleSince, m.heardFirst = d.now(), d.now()
+		m.idleSince = d.now()
 	}
 	if m.seen && r.Shift > m.shift {
 		// Its session ran out. Had the latest answer to it arrived, it would not
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -24,6 +24,7 @@
 	if len(d.catalogue) == 0 {
 		return
 	}
+	d.plans++
 	snapshot := d.snapshot()
 	plan := planner.Make(snapshot)
 	for len(plan.Wants) > 0 && d.uncordon(plan.Wants) {
--- a/internal/testkit/scale_test.go
+++ b/internal/testkit/scale_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"postpoint/internal/clock"
+	"postpoint/internal/dispatch"
 	"postpoint/internal/fleet"
 	"postpoint/internal/protocol"
 )
@@ -71,16 +72,21 @@
 	if up := len(d.Cloud.all); up < 250 {
 		t.Errorf("only %d machines were rented", up)
 	}
-	limits := set.Deployment
+	plans := 0
+	d.Nodes[leading(t, d)].Dispatch.Overview(func(o any) { plans = o.(dispatch.Overview).Plans })
+	w.Run(day + clock.Millisecond)
+	// The settings allow 12,000, 30,000 and 2,400. What this day needs is less by
+	// far, and a change that needs a third more is one to be noticed.
 	for _, x := range []struct {
 		what string
 		n    int
 		most float64
 	}{
-		{"changes of records", d.State.Changes, limits.State.WriteRps * day.Seconds() / 2},
-		{"requests to the state service", d.State.Requests, limits.State.Rps * day.Seconds() / 2},
-		{"calls to the cloud", d.Cloud.Calls, limits.Cloud.Rps * day.Seconds() / 2},
-		{"direct commands", d.Commands, 1 * float64(tasks)},
+		{"changes of records", d.State.Changes, 3000},
+		{"requests to the state service", d.State.Requests, 7500},
+		{"calls to the cloud", d.Cloud.Calls, 400},
+		{"plans of the last leader", plans, 4500},
+		{"direct commands", d.Commands, float64(tasks)},
 	} {
 		t.Logf("%s: %d of %.0f", x.what, x.n, x.most)
 		if float64(x.n) > x.most {
--- a/internal/testkit/scenes_test.go
+++ b/internal/testkit/scenes_test.go
@@ -313,3 +313,41 @@
 		}
 	}
 }
+
+// A gang of which a part would have to wait for a machine to boot takes no places
+// until all of them are there: placed in part it would hold them, fail for want of
+// the rest and start over.
+func TestGangWaitsWholeForBootingMachines(t *testing.T) {
+	w := NewWorld(15)
+	d := NewDeployment(w, testSettings(), testTypes(), 0)
+	d.Cloud.Capacity = map[fleet.Kind]int{{Type: "small", Zone: "a"}: 2}
+	spec := protocol.JobSpec{ID: "job-000001", Class: "c", Team: "open", Shape: protocol.ShapeArray, Rank: "normal",
+		Tasks: 2, Cpus: 6, MemoryGB: 1, Image: "i", EstimateS: 20}
+	first := d.Submit(spec, 20*clock.Second, false)
+	for !first.Done() && w.Now() < 100*clock.Second {
+		w.Run(w.Now() + 100*clock.Millisecond)
+	}
+	if up := len(d.Workers()); up != 2 {
+		t.Fatalf("%d machines are up", up)
+	}
+	d.Cloud.Capacity = map[fleet.Kind]int{{Type: "small", Zone: "a"}: 4} // one may not come up
+	spec.ID, spec.Shape, spec.Tasks = "job-000002", protocol.ShapeGang, 3
+	gang := d.Submit(spec, 20*clock.Second, false)
+	for gang.told == "" && w.Now() < 200*clock.Second {
+		w.Run(w.Now() + 100*clock.Millisecond)
+		holding := 0
+		for _, m := range d.Workers() {
+			for _, x := range m.tasks {
+				if x.job == spec.ID && x.status != protocol.TaskExited {
+					holding++
+				}
+			}
+		}
+		if up := len(d.Workers()); holding > 0 && up < 3 {
+			t.Fatalf("%d places are held with %d machines up", holding, up)
+		}
+	}
+	if gang.told != protocol.StatusDone || len(w.Broken) > 0 {
+		t.Fatalf("told %q, broken %v", gang.told, w.Broken)
+	}
+}
