--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -409,15 +409,13 @@
 		slog.Debug("job cancelled", "job", id, "placed", len(content.Placed))
 	}
 	on := map[string]*machine{}
-	for _, p := range content.Placed {
-		on[p.Machine] = d.index(j, p)
-	}
 	for _, p := range inOrder(content.Placed) {
 		if d.gone[p.Machine] {
 			// Released meanwhile, with all on it: the record is behind.
-			delete(on, p.Machine)
 			d.unplace(j, p)
+			continue
 		}
+		on[p.Machine] = d.index(j, p)
 	}
 	// What the machines last said still counts for what the record just said.
 	for _, m := range inOrder(on) {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -18,9 +18,8 @@
 func (s *still) Post(message func())        { message() }
 func (s *still) After(clock.Micros, func()) {}
 
-// one is a leader that has committed one task to machine m-1 in its shift 1.
-func one(t *testing.T) (*Dispatch, *job, *machine, *still) {
-	t.Helper()
+// leader is one that has read its records, in epoch 7.
+func leader() (*Dispatch, *still) {
 	box := &still{now: 100 * clock.Second}
 	set := &settings.Settings{}
 	set.Deployment.Workers = settings.Workers{ReportS: 2, LeaseS: 12, GangPeerS: 4, CancelS: 30}
@@ -29,6 +28,13 @@
 	d.jobs, d.machines, d.gone, d.unreadable = map[string]*job{}, map[string]*machine{}, map[string]bool{}, map[string]bool{}
 	d.retired = map[string]int64{}
 	d.loaded, d.freshAt, d.waking = true, box.now, true
+	return d, box
+}
+
+// one is a leader that has committed one task to machine m-1 in its shift 1.
+func one(t *testing.T) (*Dispatch, *job, *machine, *still) {
+	t.Helper()
+	d, box := leader()
 	content := ledger.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeArray, Tasks: 1}, 1)
 	content.NextTry = 2
 	content.Placed[0] = ledger.Placement{Task: 0, Try: 1, Machine: "m-1", Shift: 1}
@@ -202,7 +208,6 @@
 		t.Fatalf("placed %v, next try %d", j.Placed, j.NextTry)
 	}
 	// What is still heard of it is old, and brings nothing back.
-	delete(d.machines, "m-1")
 	status := 0
 	d.Beat(report(1, 7), func(s int, _ any) { status = s })
 	if status != 421 || d.machines["m-1"] != nil {
@@ -268,14 +273,7 @@
 
 // BenchmarkBeat is a report of eight running tasks that brings no news.
 func BenchmarkBeat(b *testing.B) {
-	box := &still{now: 100 * clock.Second}
-	set := &settings.Settings{}
-	set.Deployment.Workers = settings.Workers{ReportS: 2, LeaseS: 12, GangPeerS: 4, CancelS: 30}
-	d := New(box, nil, nil, nil, set, func(int64) {}, func() {}, nil)
-	d.term.Epoch, d.term.ElectedAt, d.term.RenewedAt, d.term.ValidUntil = 7, box.now, box.now, box.now+4*clock.Second
-	d.jobs, d.machines, d.gone, d.unreadable = map[string]*job{}, map[string]*machine{}, map[string]bool{}, map[string]bool{}
-	d.retired = map[string]int64{}
-	d.loaded, d.freshAt, d.waking = true, box.now, true
+	d, _ := leader()
 	content := ledger.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeArray, Tasks: 8}, 1)
 	r := report(1, 0)
 	for task := range 8 {
