Room is kept for the first gang in the queue that lacks some

Cause: the largest gangs of revaluare waited up to 376 s though the middle one waited 43 s: as places became free one by one, smaller gangs behind took them.

Change: what room there is for the first gang that is to start and doesn't fit is kept for it, and only the rest is rented.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -219,6 +219,8 @@
 	// stopping tells that room is being made: it is awaited before more is made,
 	// or one shortage would evict again and again.
 	stopping bool
+	// saving tells that room is kept for a gang already.
+	saving bool
 }
 
 // Make plans for the snapshot, which it leaves unchanged.
@@ -290,7 +292,37 @@
 			return
 		}
 	}
-	p.plan.Wants = append(p.plan.Wants, Want{j, wanted - placed})
+	p.plan.Wants = append(p.plan.Wants, Want{j, wanted - placed - p.save(j, wanted)})
+}
+
+// save keeps what room there is for the first gang in the queue that is to start and
+// lacks some: as places become free one by one, the smaller work behind it would take
+// each of them, and the largest gangs would never find enough at once.
+func (p *planning) save(j *Job, n int) int {
+	if p.saving || !j.Spec.Gang() || j.Tier != StartsInTime {
+		return 0
+	}
+	p.saving = true
+	byZone := map[string][]*Machine{}
+	for _, m := range p.candidates(j, true) {
+		zone := ""
+		if j.Spec.OneZone {
+			zone = m.Zone
+		}
+		byZone[zone] = append(byZone[zone], m)
+	}
+	var most []*Machine
+	for _, zone := range append([]string{""}, p.zones...) {
+		// Fewer than all fit, so that there are places for some number below n.
+		places, _ := p.fitMost(j, n-1, byZone[zone])
+		if len(places) > len(most) {
+			most = places
+		}
+	}
+	for _, m := range most {
+		m.Free = m.Free.Minus(Needs(j.Spec))
+	}
+	return len(most)
 }
 
 // patient tells that a job loses nothing by waiting for places that have its
@@ -465,6 +497,14 @@
 
 // fitOn is fitGang on the given machines, which it leaves as they are.
 func (p *planning) fitOn(j *Job, n int, candidates []*Machine) (places []*Machine, cost float64) {
+	if places, cost = p.fitMost(j, n, candidates); len(places) < n {
+		return nil, 0
+	}
+	return places, cost
+}
+
+// fitMost finds room for as many of n tasks as there is on the given machines.
+func (p *planning) fitMost(j *Job, n int, candidates []*Machine) (places []*Machine, cost float64) {
 	room := p.choices(j, candidates)
 	zones := zonesOf(j)
 	needs := Needs(j.Spec)
@@ -484,9 +524,6 @@
 	for i, m := range slices.Backward(places) {
 		m.Free = before[i]
 	}
-	if len(places) < n {
-		return nil, 0
-	}
 	return places, cost
 }
 
