The next start aim first, for aims beyond a boot

Change: among jobs that are to start, the time left to the next aim decides, the last aim being the four minutes in which every job is to begin. Classes that must start sooner than a machine boots keep their order.

--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -227,6 +227,7 @@
 			Returning: j.returning, Waiting: now < j.notBefore, MayEvict: j.failures < 3, Avoid: j.avoid}
 		pj.Tier, pj.SlackS = d.aims(j)
 		pj.StartAim = d.startAim(j.Spec.Class) > 0
+		pj.StartS = d.startLeft(j)
 		if missing := j.PendingCount() > 0; missing && (!j.Spec.Gang() || len(j.Placed) == 0 || d.completable(j)) {
 			pj.Limit = j.Room(limit)
 			pj.Pending = j.Pending(min(planTasks, pj.Limit))
@@ -260,6 +261,27 @@
 	return shortest
 }
 
+// startLeft is how many seconds are left for the next aim for a job's start, the
+// last of which is the four minutes in which users count on every job to begin. What
+// can't wait for a machine to boot is served in its order: between aims of seconds,
+// putting those off that have missed one only makes them miss the next.
+func (d *Dispatch) startLeft(j *job) float64 {
+	age := (d.mailbox.OfDay() - clock.Micros(j.SubmittedAt)).Seconds()
+	left := beginS - age
+	if d.startsSoon(j.Spec.Class) {
+		return left
+	}
+	for _, o := range d.set.Deployment.Objectives {
+		if o.Kind == "wait" && o.Class == j.Spec.Class && o.WithinS > age {
+			left = min(left, o.WithinS-age)
+		}
+	}
+	return left
+}
+
+// beginS is four minutes.
+const beginS = 240
+
 // startsSoon tells that a class is to start sooner than a machine boots: only
 // places that are there already can do that.
 func (d *Dispatch) startsSoon(class string) bool {
@@ -289,7 +311,7 @@
 		spec := u.spec
 		spec.Shape, spec.Tasks = protocol.ShapeArray, u.spec.Tasks*(1+int(float64(len(u.arrivals))*spareS/rateTime.Seconds()))
 		j := planner.Job{ID: sparePrefix + class, Spec: &spec, Rank: protocol.RankOf(spec.Rank), SubmittedAt: math.MaxInt64,
-			Tier: planner.StartsInTime, SlackS: math.MaxFloat64, Limit: spec.Tasks}
+			Tier: planner.StartsInTime, StartS: math.MaxFloat64, SlackS: math.MaxFloat64, Limit: spec.Tasks}
 		for t := range spec.Tasks {
 			j.Pending = append(j.Pending, t)
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -135,6 +135,8 @@
 	Within bool
 	// StartAim tells that its class is expected to start soon.
 	StartAim bool
+	// StartS orders those that are to start: how many seconds are left for it.
+	StartS float64
 	// Tier and then SlackS order jobs of one rank: see Tier's values.
 	Tier Tier
 	// SlackS is how many seconds the job can still wait before its tasks must
@@ -370,6 +372,9 @@
 // only about when all is done: the team whose limit holds it back longest has
 // no time to lose.
 func (p *planning) inTier(a, b Job) int {
+	if a.Tier == StartsInTime && b.Tier == StartsInTime {
+		return cmp.Compare(a.StartS, b.StartS)
+	}
 	if a.Tier == EndsInTime && b.Tier == EndsInTime {
 		return cmp.Compare(a.SlackS, b.SlackS)
 	}
