--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -286,3 +286,23 @@
 		d.Beat(r, func(int, any) {})
 	}
 }
+
+// Among jobs that are to start, the time left to the next aim counts, the last
+// being the four minutes in which every job is to begin; what must start sooner
+// than a machine boots keeps its order.
+func TestTheNextStartAimCounts(t *testing.T) {
+	d, j, _, box := one(t)
+	box.now = 1000 * clock.Second
+	d.catalogue = []protocol.MachineType{{Name: "t", BootS: 30}}
+	d.set.Deployment.Objectives = []settings.Objective{{Kind: "wait", Class: "late", WithinS: 120},
+		{Kind: "wait", Class: "late", WithinS: 300}, {Kind: "wait", Class: "soon", WithinS: 5}}
+	for _, c := range []struct {
+		class     string
+		age, left float64
+	}{{"late", 50, 70}, {"late", 130, 110}, {"late", 250, -10}, {"none", 100, 140}, {"soon", 1, 239}} {
+		j.Spec.Class, j.SubmittedAt = c.class, int64(box.now-clock.FromSeconds(c.age))
+		if left := d.startLeft(j); left != c.left {
+			t.Errorf("%s at %v s has %v s left, not %v", c.class, c.age, left, c.left)
+		}
+	}
+}
