Tidy: one direct command, one grouping by zone, one end check in the scenes

The challenge of a machine repeated what pushing orders does around a call; the search for a gang's room and the room kept for it split machines by zone each in its own way; a sign turned an order that can be gone through backwards; a field of the cloud's stand-in was never set. No decision changes.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -56,10 +56,7 @@
 		t.Guards = append(t.Guards, protocol.Guard{Key: key, Version: j.version})
 		t.Changes = append(t.Changes, protocol.Change{Put: key, Value: value})
 		writes = append(writes, write{j, j.changed})
-		j.flight = true
-	}
-	for _, w := range writes {
-		w.j.dirtyAt = d.now()
+		j.flight, j.dirtyAt = true, d.now()
 	}
 	d.committing = true
 	epoch := d.term.Epoch
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -140,18 +140,30 @@
 		return
 	}
 	m.challengedAt = d.now()
-	epoch, shift, counter := d.term.Epoch, m.shift, m.counter
-	m.calling = true
-	d.agent.Commands(m.addr, protocol.Commands{Epoch: epoch, Shift: shift, Orders: []protocol.Order{}}, func(status int, r protocol.Report) {
+	shift, counter := m.shift, m.counter
+	d.command(m, shift, []protocol.Order{}, func(_ int, answer *protocol.Report) {
+		if answer != nil && (answer.Shift < shift || answer.Shift == shift && answer.Counter <= counter) {
+			d.release(m, "it has started over")
+		}
+	})
+}
+
+// command sends a direct command, one at a time to a machine. Its answer, if there
+// is one, is heard before the next goes out.
+func (d *Dispatch) command(m *machine, shift int64, orders []protocol.Order, done func(status int, answer *protocol.Report)) {
+	m.calling, m.callAgain = true, false
+	epoch := d.term.Epoch
+	d.agent.Commands(m.addr, protocol.Commands{Epoch: epoch, Shift: shift, Orders: orders}, func(status int, r protocol.Report) {
 		if d.term.Epoch != epoch || d.machines[m.name] != m {
 			return
 		}
 		m.calling = false
-		switch answered := status == http.StatusOK || status == http.StatusConflict; {
-		case !answered || r.Machine != m.name:
-		case r.Shift < shift || r.Shift == shift && r.Counter <= counter:
-			d.release(m, "it has started over")
-		default:
+		var answer *protocol.Report
+		if (status == http.StatusOK || status == http.StatusConflict) && r.Machine == m.name {
+			answer = &r
+		}
+		done(status, answer)
+		if answer != nil {
 			d.observe(m, r)
 		}
 		if m.callAgain {
@@ -501,14 +513,7 @@
 	if !d.synced(m) {
 		m.syncedAt = d.now()
 	}
-	m.calling, m.callAgain = true, false
-	epoch := d.term.Epoch
-	c := protocol.Commands{Epoch: epoch, Shift: shift, Orders: orders}
-	d.agent.Commands(m.addr, c, func(status int, r protocol.Report) {
-		if d.term.Epoch != epoch || d.machines[m.name] != m {
-			return
-		}
-		m.calling = false
+	d.command(m, shift, orders, func(status int, _ *protocol.Report) {
 		for _, o := range orders {
 			if o.Verb != protocol.VerbStart {
 				continue
@@ -520,12 +525,6 @@
 				s.uncertain = s.uncertain || status != http.StatusOK && status != http.StatusConflict && status != http.StatusBadRequest
 			}
 		}
-		if (status == http.StatusOK || status == http.StatusConflict) && r.Machine == m.name {
-			d.observe(m, r)
-		}
-		if m.callAgain {
-			d.pushOrders(m)
-		}
 	})
 }
 
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -480,7 +480,7 @@
 	if len(left) == 0 {
 		return
 	}
-	for _, j := range youngestFirst(s, -1) {
+	for _, j := range slices.Backward(youngestFirst(s)) {
 		room, guaranteed := left[j.Spec.Team]
 		if !guaranteed {
 			continue
@@ -492,15 +492,14 @@
 	}
 }
 
-// youngestFirst are the snapshot's jobs by their submission; a sign of -1 gives
-// the oldest first.
-func youngestFirst(s *planner.Snapshot, sign int) []*planner.Job {
+// youngestFirst are the snapshot's jobs by their submission.
+func youngestFirst(s *planner.Snapshot) []*planner.Job {
 	order := make([]*planner.Job, len(s.Jobs))
 	for i := range s.Jobs {
 		order[i] = &s.Jobs[i]
 	}
 	slices.SortFunc(order, func(a, b *planner.Job) int {
-		return sign * cmp.Or(cmp.Compare(b.SubmittedAt, a.SubmittedAt), cmp.Compare(b.ID, a.ID))
+		return cmp.Or(cmp.Compare(b.SubmittedAt, a.SubmittedAt), cmp.Compare(b.ID, a.ID))
 	})
 	return order
 }
@@ -517,7 +516,7 @@
 	if !guaranteed {
 		return
 	}
-	for _, j := range youngestFirst(s, 1) {
+	for _, j := range youngestFirst(s) {
 		g := s.Teams[j.Spec.Team].Guarantee
 		for i := range j.Running {
 			left := excess[j.Spec.Team]
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -250,14 +250,14 @@
 		}
 		// Jobs that can wait leave places where they would wait for an image to
 		// jobs of their rank that have it there.
-		for _, j := range inPlace(jobs[i:end]) {
+		for j := range startable(jobs[i:end]) {
 			if j.patient() {
 				p.place(j, true)
 			} else {
 				p.serve(j, jobs)
 			}
 		}
-		for _, j := range inPlace(jobs[i:end]) {
+		for j := range startable(jobs[i:end]) {
 			if j.patient() {
 				p.serve(j, jobs)
 			}
@@ -267,11 +267,11 @@
 	return p.plan
 }
 
-// inPlace goes through the jobs that have anything to start.
-func inPlace(jobs []Job) iter.Seq2[int, *Job] {
-	return func(yield func(int, *Job) bool) {
+// startable goes through the jobs that have anything to start.
+func startable(jobs []Job) iter.Seq[*Job] {
+	return func(yield func(*Job) bool) {
 		for i := range jobs {
-			if j := &jobs[i]; !j.Waiting && len(j.Pending) > 0 && !yield(i, j) {
+			if j := &jobs[i]; !j.Waiting && len(j.Pending) > 0 && !yield(j) {
 				return
 			}
 		}
@@ -305,19 +305,10 @@
 		return 0
 	}
 	p.saving = true
-	byZone := map[string][]*Machine{}
-	for _, m := range p.candidates(j, true) {
-		zone := ""
-		if j.Spec.OneZone {
-			zone = m.Zone
-		}
-		byZone[zone] = append(byZone[zone], m)
-	}
 	var most []*Machine
-	for _, zone := range append([]string{""}, p.zones...) {
+	for _, group := range p.groups(j, p.candidates(j, true)) {
 		// Fewer than all fit, so that there are places for some number below n.
-		places, _ := p.fitMost(j, n-1, byZone[zone])
-		if len(places) > len(most) {
+		if places, _ := p.fitMost(j, n-1, group); len(places) > len(most) {
 			most = places
 		}
 	}
@@ -476,39 +467,32 @@
 	if fits < n {
 		return nil
 	}
-	if !j.Spec.OneZone {
-		places, _ := p.fitOn(j, n, candidates)
-		return places
-	}
-	held := zonesOf(j)
 	var best []*Machine
 	bestCost := 0.0
-	for _, zone := range p.zones {
-		if len(held) > 0 && held[zone] == 0 {
-			continue
-		}
-		var inside []*Machine
-		for _, m := range candidates {
-			if m.Zone == zone {
-				inside = append(inside, m)
-			}
-		}
-		if places, cost := p.fitOn(j, n, inside); places != nil && (best == nil || cost < bestCost) {
+	for _, group := range p.groups(j, candidates) {
+		if places, cost := p.fitMost(j, n, group); len(places) == n && (best == nil || cost < bestCost) {
 			best, bestCost = places, cost
 		}
 	}
 	return best
 }
 
-// fitOn is fitGang on the given machines, which it leaves as they are.
-func (p *planning) fitOn(j *Job, n int, candidates []*Machine) (places []*Machine, cost float64) {
-	if places, cost = p.fitMost(j, n, candidates); len(places) < n {
-		return nil, 0
+// groups are the machines among which the job's tasks may be spread: all of them,
+// or those of one zone.
+func (p *planning) groups(j *Job, machines []*Machine) [][]*Machine {
+	if !j.Spec.OneZone {
+		return [][]*Machine{machines}
 	}
-	return places, cost
+	groups := make([][]*Machine, len(p.zones))
+	for _, m := range machines {
+		i := slices.Index(p.zones, m.Zone)
+		groups[i] = append(groups[i], m)
+	}
+	return groups
 }
 
-// fitMost finds room for as many of n tasks as there is on the given machines.
+// fitMost finds room for as many of n tasks as there is on the given machines,
+// which it leaves as they are.
 func (p *planning) fitMost(j *Job, n int, candidates []*Machine) (places []*Machine, cost float64) {
 	room := p.choices(j, candidates)
 	zones := zonesOf(j)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -408,19 +408,22 @@
 		}
 		return found
 	}
-	gang := func(j *Job, ok func(*Machine) bool) []*Machine {
-		only := []string{""}
-		if j.Spec.OneZone {
-			only = nil
-			for i := range p.machines {
-				if !slices.Contains(only, p.machines[i].Zone) {
-					only = append(only, p.machines[i].Zone)
-				}
+	// The zones that all tasks may be in, "" for any.
+	choices := func(j *Job) (only []string) {
+		if !j.Spec.OneZone {
+			return []string{""}
+		}
+		for i := range p.machines {
+			if !slices.Contains(only, p.machines[i].Zone) {
+				only = append(only, p.machines[i].Zone)
 			}
 		}
+		return only
+	}
+	gang := func(j *Job, ok func(*Machine) bool) []*Machine {
 		var cheapest []*Machine
 		lowest := 0.0
-		for _, zone := range only {
+		for _, zone := range choices(j) {
 			before := append([]Machine(nil), p.machines...)
 			zones, cost := zonesOf(j), 0.0
 			var places []*Machine
@@ -449,17 +452,8 @@
 			return
 		}
 		saved = true
-		only := []string{""}
-		if j.Spec.OneZone {
-			only = nil
-			for i := range p.machines {
-				if !slices.Contains(only, p.machines[i].Zone) {
-					only = append(only, p.machines[i].Zone)
-				}
-			}
-		}
 		most, after := 0, p.machines
-		for _, zone := range only {
+		for _, zone := range choices(j) {
 			before := append([]Machine(nil), p.machines...)
 			zones, n := zonesOf(j), 0
 			for ; n < len(j.Pending)-1; n++ {
--- a/internal/testkit/cloud.go
+++ b/internal/testkit/cloud.go
@@ -19,8 +19,6 @@
 	Capacity map[fleet.Kind]int
 	Outage   bool
 	Calls    int
-	// Boots is how long machines take at the most.
-	Boots    clock.Micros
 	bookings map[string][]string
 	machines map[string]*Worker
 	all      []*Worker
@@ -28,7 +26,7 @@
 }
 
 func newCloud(d *Deployment, types []protocol.MachineType) *Cloud {
-	c := &Cloud{w: d.World, d: d, Types: types, Capacity: map[fleet.Kind]int{}, bookings: map[string][]string{}, machines: map[string]*Worker{}, Boots: 15 * clock.Second}
+	c := &Cloud{w: d.World, d: d, Types: types, Capacity: map[fleet.Kind]int{}, bookings: map[string][]string{}, machines: map[string]*Worker{}}
 	for _, t := range types {
 		for _, z := range t.Zones {
 			c.Capacity[fleet.Kind{Type: t.Name, Zone: z, Spot: true}] = 2
--- a/internal/testkit/scenes_test.go
+++ b/internal/testkit/scenes_test.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// mustBeDone sees to it that a user was told the end of a job, and no rule broken.
+func mustBeDone(t *testing.T, w *World, j *Job) {
+	t.Helper()
+	if j.told != protocol.StatusDone || len(w.Broken) > 0 {
+		t.Fatalf("%s: told %q, broken %v", j.spec.ID, j.told, w.Broken)
+	}
+}
+
 func leading(t *testing.T, d *Deployment) int {
 	t.Helper()
 	for i, n := range d.Nodes {
@@ -76,9 +84,7 @@
 		}
 	}
 	w.Run(w.Now() + 100*clock.Second)
-	if j.told != protocol.StatusDone || len(w.Broken) > 0 {
-		t.Fatalf("told %q, broken %v", j.told, w.Broken)
-	}
+	mustBeDone(t, w, j)
 }
 
 // Nodes that start while the cloud doesn't answer judge submissions by the
@@ -138,9 +144,7 @@
 	if err != nil || record.Status != protocol.StatusDone || record.NextTry != 2 {
 		t.Fatalf("record %+v, %v", record, err)
 	}
-	if j.told != protocol.StatusDone || len(w.Broken) > 0 {
-		t.Fatalf("told %q, broken %v", j.told, w.Broken)
-	}
+	mustBeDone(t, w, j)
 }
 
 // When it is the workers that are gone, leadership doesn't go round for ever:
@@ -157,9 +161,7 @@
 		m.Link.Cut, m.Commands.Cut = true, true // up, listed and silent
 	}
 	w.Run(w.Now() + 200*clock.Second)
-	if j.told != protocol.StatusDone || len(w.Broken) > 0 {
-		t.Fatalf("told %q, broken %v", j.told, w.Broken)
-	}
+	mustBeDone(t, w, j)
 }
 
 // busyDay is a deployment that runs one job of eight tasks for a long time.
@@ -189,9 +191,7 @@
 		t.Fatalf("%s is kept in session %d", m.name, m.shift)
 	}
 	w.Run(w.Now() + 120*clock.Second)
-	if j.told != protocol.StatusDone || len(w.Broken) > 0 {
-		t.Fatalf("told %q, broken %v", j.told, w.Broken)
-	}
+	mustBeDone(t, w, j)
 }
 
 // One that hears again in time is used again.
@@ -207,9 +207,7 @@
 		t.Fatalf("ended %v, tasks %d", m.ended, len(m.tasks))
 	}
 	w.Run(w.Now() + 500*clock.Second)
-	if j.told != protocol.StatusDone || len(w.Broken) > 0 {
-		t.Fatalf("told %q, broken %v", j.told, w.Broken)
-	}
+	mustBeDone(t, w, j)
 }
 
 // A machine that counts its sessions and reports from one again is neither
@@ -240,9 +238,7 @@
 			t.Fatalf("%s is kept (next leader: %v)", m.name, next)
 		}
 		w.Run(w.Now() + 300*clock.Second)
-		if j.told != protocol.StatusDone || len(w.Broken) > 0 {
-			t.Fatalf("told %q, broken %v (next leader: %v)", j.told, w.Broken, next)
-		}
+		mustBeDone(t, w, j)
 	}
 }
 
@@ -268,9 +264,7 @@
 		t.Fatal("the machine is still known")
 	}
 	w.Run(w.Now() + 200*clock.Second)
-	if j.told != protocol.StatusDone || len(w.Broken) > 0 {
-		t.Fatalf("told %q, broken %v", j.told, w.Broken)
-	}
+	mustBeDone(t, w, j)
 }
 
 // A node that is left with the workers only sends them on, without naming a
@@ -308,9 +302,7 @@
 			t.Fatalf("leads %v: up %v, beat %d %q, user %+v", leads, up, status, redirect, told)
 		}
 		w.Run(w.Now() + 150*clock.Second)
-		if j.told != protocol.StatusDone || len(w.Broken) > 0 {
-			t.Fatalf("told %q, broken %v", j.told, w.Broken)
-		}
+		mustBeDone(t, w, j)
 	}
 }
 
@@ -347,7 +339,5 @@
 			t.Fatalf("%d places are held with %d machines up", holding, up)
 		}
 	}
-	if gang.told != protocol.StatusDone || len(w.Broken) > 0 {
-		t.Fatalf("told %q, broken %v", gang.told, w.Broken)
-	}
+	mustBeDone(t, w, gang)
 }
--- a/internal/testkit/worker.go
+++ b/internal/testkit/worker.go
@@ -71,7 +71,7 @@
 	if d.World.chance(0.03) {
 		return m // never comes up
 	}
-	d.World.After(d.World.Between(clock.Second, d.Cloud.Boots), func() {
+	d.World.After(d.World.Between(clock.Second, 15*clock.Second), func() {
 		if m.ended {
 			return
 		}
