--- a/cmd/postpoint/main.go
+++ b/cmd/postpoint/main.go
@@ -96,22 +96,32 @@
 
 	var leader *leadership.Leadership
 	var users *intake.Intake
+	var peers []string
+	for _, p := range s.Known {
+		peers = append(peers, p.PeerAddr)
+	}
 	dispatchBox := actor.New(machineClock)
+	everyone := peer.NewForwarder(peers, dispatchBox)
 	dispatcher := dispatch.New(dispatchBox, state.For(dispatchBox), cloud.New(s.Outside.Cloud).For(dispatchBox),
 		agent.New().For(dispatchBox), s,
 		func(epoch int64) { leader.Deposed(epoch) },
 		func() { leader.Resign() },
+		func(back clock.Micros, done func([]intake.Attestation, bool)) {
+			everyone.Everyone(users, intake.AttestRequest(back), func(answers []intake.Answer, ok bool) {
+				done(intake.Attestations(answers, ok))
+			})
+		},
 		func(types []protocol.MachineType) { users.Types(types) })
 
 	leaderBox := actor.New(machineClock)
 	leader = leadership.New(leaderBox, state.For(leaderBox),
-		leadership.Config{Node: s.Node, Incarnation: rand.Text(), TTL: ttl}, dispatcher.Term, dispatcher.Leader)
+		leadership.Config{Node: s.Node, Incarnation: rand.Text(), TTL: ttl},
+		func(t leadership.Term) {
+			users.Elected(t.Epoch) // first: nothing is vouched for after the term has begun
+			dispatcher.Term(t)
+		}, dispatcher.Leader)
 
 	usersBox := actor.New(machineClock)
-	var peers []string
-	for _, p := range s.Known {
-		peers = append(peers, p.PeerAddr)
-	}
 	users = intake.New(usersBox, state.For(usersBox), s, peer.NewForwarder(peers, usersBox).Forward)
 
 	dispatcher.Start()
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -127,12 +127,18 @@
 	case r.Status == http.StatusTooManyRequests || r.Status == http.StatusServiceUnavailable:
 		// Not executed: the same changes go again after a pause.
 		d.pauseUntil = d.now() + retryDelay
+	case r.Unknown() || r.Status >= http.StatusInternalServerError:
+		// It may have been carried out, or may be seconds from now. Until something
+		// else is written at these versions nothing that it says may be forgotten: a
+		// place that a read doesn't show yet would be given away and then be there all
+		// the same. So it goes again as it stands by then; only one of the two can apply,
+		// and if it was the first, the second is refused and the records are read.
+		slog.Info("a change has no answer, it goes again", "status", r.Status, "reason", r.Value.Error, "records", len(writes))
+		d.pauseUntil = d.now() + retryDelay
 	default:
-		// Refused because somebody else changed a record, or nobody knows what
-		// became of it: only the records tell. A late copy of this transaction
-		// can't apply once anything else was written at these versions.
+		// Refused because somebody else changed a record: only the records tell.
 		if r.Status != http.StatusConflict {
-			slog.Info("a change has no answer, reading the records", "status", r.Status, "reason", r.Value.Error, "records", len(writes))
+			slog.Error("a change is refused, reading the records", "status", r.Status, "reason", r.Value.Error, "records", len(writes))
 			d.pauseUntil = d.now() + retryDelay
 		}
 		for _, w := range writes {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -37,6 +37,7 @@
 	set     *settings.Settings
 	deposed func(epoch int64)
 	resign  func()
+	attest  Attester
 
 	leader string // whom workers are sent to; "" if unknown
 	term   leadership.Term
@@ -53,7 +54,10 @@
 	unreadable map[string]bool // jobs whose records make no sense
 	gone       map[string]bool // released machines: what is still heard of them is old
 	loaded     bool
+	begunAt    clock.Micros // when this term began here
 	freshAt    clock.Micros // everything in the records before this is known
+	attestedAt clock.Micros // everything that any node told before this is known
+	attesting  bool
 	waking     bool
 	nextStep   clock.Micros // not before, see stepCost
 	plans      int
@@ -121,14 +125,18 @@
 	runningSince []clock.Micros
 	runningStale bool
 	// spoilt is a gang's try that can't be completed any more.
-	spoilt     int64
-	failures   int
-	notBefore  clock.Micros
-	avoid      map[string]bool
-	cancelSeen clock.Micros
-	stops      map[int]stop
-	returning  bool
-	moved      bool // off a machine that could be spared
+	spoilt    int64
+	failures  int
+	notBefore clock.Micros
+	avoid     map[string]bool
+	// cancelled tells that a user was told so; the record may still be behind.
+	cancelled bool
+	// cancelledAt is when that was, or somewhat earlier. It may lie before this process
+	// began, and so be negative on its steady clock.
+	cancelledAt clock.Micros
+	stops       map[int]stop
+	returning   bool
+	moved       bool // off a machine that could be spared
 }
 
 type stop struct {
@@ -139,6 +147,9 @@
 // committed tells that a placement is in the record: only then is it acted on.
 func (j *job) committed(p ledger.Placement) bool { return j.proposed[p.Task] <= j.durable }
 
+// over tells that nothing of the job may start or stay any more.
+func (j *job) over() bool { return j.Final() || j.cancelled }
+
 func (j *job) clean() bool { return !j.flight && !j.reread && j.changed == j.durable }
 
 // touch notes a change of the content.
@@ -209,6 +220,7 @@
 	spareAt    clock.Micros // when a place on it was last to be kept free
 	cordoned   bool         // takes no new tasks, so that it empties: see fleet.Cordon
 	releasing  bool
+	overdue    bool // holds tasks of a cancelled job that don't end
 	idleSince  clock.Micros
 }
 
@@ -228,10 +240,11 @@
 }
 
 // New makes the actor. deposed is told of higher epochs, resign asks to give
-// leadership up, onTypes is told of each new catalogue.
+// leadership up, attest asks all nodes what they told users, onTypes is told of each
+// new catalogue.
 func New(m actor.Mailbox, st statestore.Store, cl cloud.API, ag agent.API, set *settings.Settings,
-	deposed func(int64), resign func(), onTypes func([]protocol.MachineType)) *Dispatch {
-	return &Dispatch{mailbox: m, store: st, cloud: cl, agent: ag, set: set, deposed: deposed, resign: resign, onTypes: onTypes,
+	deposed func(int64), resign func(), attest Attester, onTypes func([]protocol.MachineType)) *Dispatch {
+	return &Dispatch{mailbox: m, store: st, cloud: cl, agent: ag, set: set, deposed: deposed, resign: resign, attest: attest, onTypes: onTypes,
 		addresses: map[string]string{}, classSeen: map[string]classUse{},
 		types: map[string]protocol.MachineType{}}
 }
@@ -278,12 +291,6 @@
 	return d.term.Epoch != 0 && now < d.term.ValidUntil && d.loaded && now < d.freshAt+staleAfter
 }
 
-// keeps tells that workers may still be answered, without orders: see
-// settings.Workers.KeepAlive.
-func (d *Dispatch) keeps() bool {
-	return d.term.Epoch != 0 && d.now() < min(d.term.RenewedAt, max(d.freshAt, d.term.ElectedAt))+d.set.Deployment.Workers.KeepAlive()
-}
-
 const (
 	staleAfter = 6 * clock.Second
 	rateTime   = 60 * clock.Second
@@ -304,7 +311,7 @@
 	d.jobs, d.machines, d.roster, d.gone = map[string]*job{}, map[string]*machine{}, nil, map[string]bool{}
 	d.unreadable, d.retired = map[string]bool{}, map[string]int64{}
 	d.loaded, d.committing, d.waking, d.shared = false, false, false, false
-	d.freshAt, d.plans = 0, 0
+	d.begunAt, d.freshAt, d.attestedAt, d.attesting, d.plans = d.now(), 0, 0, false, 0
 	d.renting = newFleetState(d.set.Deployment.Cloud.Rps)
 	d.load(d.term.Epoch, "", 0, d.now())
 }
@@ -381,12 +388,16 @@
 	if version <= d.retired[id] || j != nil && (version < j.version || version == j.version && !j.reread) {
 		return
 	}
+	content, err := ledger.Decode(raw)
 	if j != nil && j.flight {
-		// What this is becomes clear when our own change is answered.
+		// What this is becomes clear when our own change is answered; that it is
+		// cancelled is final.
 		j.stash = &protocol.Event{Put: key, Value: raw, Version: version}
+		if err == nil && content.Status == protocol.StatusCancelled {
+			d.noteCancelled(j, d.confirmedAt(content))
+		}
 		return
 	}
-	content, err := ledger.Decode(raw)
 	if err != nil {
 		// Never guess at what may be running: leave it alone and say so.
 		slog.Error("malformed record", "job", id, "error", err)
@@ -409,9 +420,8 @@
 	j.runningStale = true
 	clear(j.proposed)
 	j.fresh = nil
-	if content.Status == protocol.StatusCancelled && j.cancelSeen == 0 {
-		j.cancelSeen = d.now()
-		slog.Debug("job cancelled", "job", id, "placed", len(content.Placed))
+	if content.Status == protocol.StatusCancelled {
+		d.noteCancelled(j, d.confirmedAt(content))
 	}
 	on := map[string]*machine{}
 	for _, p := range inOrder(content.Placed) {
@@ -573,6 +583,8 @@
 	if d.term.Epoch == 0 {
 		return
 	}
+	d.endCancelled()
+	d.seekAttestation()
 	if d.leads() {
 		d.expire()
 		d.drain()
@@ -605,7 +617,7 @@
 // leases run out at a leader that they can't reach. A worker spends four seconds on
 // a node that doesn't answer, so that two missing reports have to be enough.
 func (d *Dispatch) deaf() bool {
-	since := d.term.ElectedAt
+	since := d.begunAt
 	known := 0
 	for _, m := range d.roster {
 		if len(m.placed) > 0 {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -24,7 +24,7 @@
 	box := &still{now: 100 * clock.Second}
 	set := &settings.Settings{}
 	set.Deployment.Workers = settings.Workers{ReportS: 2, LeaseS: 12, GangPeerS: 4, CancelS: 30}
-	d := New(box, nil, nil, nil, set, func(int64) {}, func() {}, nil)
+	d := New(box, nil, nil, nil, set, func(int64) {}, func() {}, nil, nil)
 	d.term.Epoch, d.term.ElectedAt, d.term.RenewedAt, d.term.ValidUntil = 7, box.now, box.now, box.now+4*clock.Second
 	d.jobs, d.machines, d.gone, d.unreadable = map[string]*job{}, map[string]*machine{}, map[string]bool{}, map[string]bool{}
 	d.retired = map[string]int64{}
@@ -59,13 +59,14 @@
 }
 
 // While a start may still arrive, a report without the task doesn't free its
-// place, even if the task is to be stopped; it is started and stopped instead.
+// place, even if the task is to be stopped; it is started and stopped instead. A
+// cancelled job's isn't: nothing of it may start any more, and the place is kept.
 func TestAbsenceProvesNothingWhileAStartMayArrive(t *testing.T) {
 	d, j, m, _ := one(t)
 	ref := taskRef{"job-1", 0, 1}
 	d.observe(m, report(1, 1))
 	m.sent[ref] = &sent{uncertain: true}
-	j.Status = protocol.StatusCancelled
+	j.stops[0] = stop{why: "room"}
 	d.observe(m, report(1, 2))
 	if len(j.Placed) != 1 {
 		t.Fatal("the place was freed")
@@ -74,6 +75,11 @@
 	if len(orders) != 2 || orders[0].Verb != protocol.VerbStart || orders[1].Verb != protocol.VerbStop {
 		t.Fatalf("orders %v", orders)
 	}
+	m.sent[ref] = &sent{uncertain: true}
+	j.Status = protocol.StatusCancelled
+	if orders := d.orders(m, true); len(orders) != 0 || len(j.Placed) != 1 {
+		t.Fatalf("orders %v for a cancelled job, placed %v", orders, j.Placed)
+	}
 	m.sent[ref] = &sent{}
 	d.observe(m, report(1, 3))
 	if len(j.Placed) != 0 {
@@ -382,7 +388,7 @@
 	const spared = 300
 	for i := range spared {
 		m := d.machine(fmt.Sprintf("m-%03d", i))
-		m.typ, m.zone, m.seen, m.epoch, m.heardAt, m.cordoned = "t", "a", true, 7, box.now, true
+		m.typ, m.zone, m.seen, m.epoch, m.heardAt, m.answeredAt, m.cordoned = "t", "a", true, 7, box.now, box.now, true
 	}
 	content := ledger.New(protocol.JobSpec{ID: "job-1", Team: "x", Shape: protocol.ShapeArray, Tasks: spared, Cpus: 8, MemoryGB: 1, EstimateS: 60}, 1)
 	d.set.Deployment.State.ValueKb = 64
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -25,30 +25,11 @@
 	leaseMargin = clock.Second
 )
 
-// proofAt is when every lease that could keep a machine's tasks alive has
-// ended: those of this node's own answers, those that an earlier leader may
-// have given until the end of its allowance, and the one that a session begins
-// with, unanswered, no later than its first report.
-func (d *Dispatch) proofAt(m *machine) clock.Micros {
-	w := d.set.Deployment.Workers
-	last := max(m.answeredAt, m.shiftAt, d.term.ElectedAt+w.KeepAlive())
-	return last + w.Lease() + w.Lease()/1000 + leaseMargin
-}
-
 // expire frees the places of machines whose leases have ended unheard, and
 // gives up on machines that show no sign of life.
 func (d *Dispatch) expire() {
 	now := d.now()
 	w := d.set.Deployment.Workers
-	for _, j := range inOrder(d.jobs) {
-		// A cancelled task must be gone in time: if the worker answers but
-		// doesn't stop it, the machine goes.
-		if j.cancelSeen != 0 && now > j.cancelSeen+w.Lease()+3*clock.Second {
-			for _, p := range inOrder(j.Placed) {
-				d.release(d.machine(p.Machine), "cancelled tasks don't end")
-			}
-		}
-	}
 	for _, m := range d.roster {
 		if m.releasing {
 			continue
@@ -60,7 +41,15 @@
 			for id, tasks := range inOrder(m.placed) {
 				for _, p := range inOrder(tasks) {
 					m.shift = max(m.shift, p.Shift)
-					if j := d.jobs[id]; j != nil && !j.reread {
+					j := d.jobs[id]
+					switch {
+					case j == nil || j.reread:
+					case j.cancelled:
+						// It may hang, and what it was stopped in the middle of counts as
+						// there until it goes on or is gone.
+						m.overdue = true
+						d.release(m, "silent with cancelled tasks")
+					default:
 						d.unplace(j, p)
 					}
 				}
@@ -131,26 +120,15 @@
 	}
 }
 
-// remind repeats by direct command what can't wait for the next report: ends of
-// cancelled tasks, and this term's epoch for machines that haven't come by
-// themselves, a few at a time.
+// remind repeats this term's epoch by direct command to machines that haven't come
+// by themselves, a few at a time.
 func (d *Dispatch) remind() {
-	for _, j := range inOrder(d.jobs) {
-		if !j.Final() {
-			continue
-		}
-		for _, p := range inOrder(j.Placed) {
-			if m := d.machines[p.Machine]; m != nil && !m.releasing {
-				d.pushOrders(m)
-			}
-		}
-	}
 	now := d.now()
 	due := now - d.set.Deployment.Workers.Report()*3/2 - clock.Second
 	left := remindAtOnce
 	for _, m := range d.roster {
 		if left > 0 && !d.synced(m) && !m.releasing && !m.calling && m.status != protocol.MachineStarting &&
-			max(m.heardAt, d.term.ElectedAt) < due && now >= m.syncedAt+remindTime {
+			max(m.heardAt, d.begunAt) < due && now >= m.syncedAt+remindTime {
 			left--
 			d.pushOrders(m)
 		}
@@ -308,10 +286,14 @@
 	if d.renting.releasing {
 		return
 	}
+	// Those that hold what is cancelled can't wait for others, nor for the cloud to
+	// recover from a refusal.
 	var names []string
-	for _, m := range d.roster {
-		if m.releasing && len(names) < cloud.ReleaseSize {
-			names = append(names, m.name)
+	for _, overdue := range []bool{true, false} {
+		for _, m := range d.roster {
+			if m.releasing && m.overdue == overdue && len(names) < cloud.ReleaseSize && (overdue || d.leads() && d.now() >= d.renting.downUntil) {
+				names = append(names, m.name)
+			}
 		}
 	}
 	if len(names) == 0 {
@@ -319,7 +301,7 @@
 	}
 	d.renting.releasing = true
 	epoch := d.term.Epoch
-	d.cloud.Release(names, d.term.ValidUntil, func(status int) {
+	d.cloud.Release(names, d.returnUntil(), func(status int) {
 		if d.term.Epoch != epoch {
 			return
 		}
@@ -418,12 +400,18 @@
 		}
 		// It ran tasks before this term and has had time to report since: if it
 		// is alive at all, it is out of everybody's sight.
-		if !m.listed && !m.seen && len(m.placed) > 0 && began > d.term.ElectedAt+unheardTime {
+		if !m.listed && !m.seen && len(m.placed) > 0 && began > d.begunAt+unheardTime {
 			d.release(m, "neither listed nor heard of")
 		}
 	}
 }
 
+// renewed tells that the machine's lease is being renewed: one that only answers
+// direct commands loses whatever it is given when its lease ends.
+func (d *Dispatch) renewed(m *machine) bool {
+	return m.answeredAt != 0 && d.now() < m.answeredAt+2*d.set.Deployment.Workers.Report()+2*clock.Second
+}
+
 // lively tells that a machine was heard of about as often as it should be.
 func (d *Dispatch) lively(m *machine) bool {
 	return m.seen && d.now() < m.heardAt+2*d.set.Deployment.Workers.Report()+2*clock.Second
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"log/slog"
 	"maps"
 	"net/http"
@@ -49,6 +50,10 @@
 			reply(http.StatusMisdirectedRequest, protocol.Redirect{})
 			return
 		}
+		if !d.mayRenew(m) {
+			reply(http.StatusServiceUnavailable, protocol.Redirect{})
+			return
+		}
 		m.beatShift, m.beatCounter = r.Shift, r.Counter
 		for _, s := range m.sent {
 			// The worker has one report in flight: the answer to the last one
@@ -58,6 +63,8 @@
 		answer := protocol.BeatAnswer{Epoch: d.term.Epoch, Orders: []protocol.Order{}}
 		if d.leads() {
 			answer.Orders = d.orders(m, true)
+		} else {
+			answer.Orders = append(answer.Orders, d.endings(m, true)...)
 		}
 		m.answeredAt = d.now()
 		reply(http.StatusOK, answer)
@@ -163,7 +170,11 @@
 func (d *Dispatch) command(m *machine, shift int64, orders []protocol.Order, done func(status int, answer *protocol.Report)) {
 	m.calling, m.callAgain = true, false
 	epoch := d.term.Epoch
-	d.agent.Commands(m.addr, protocol.Commands{Epoch: epoch, Shift: shift, Orders: orders}, d.term.ValidUntil, func(status int, r protocol.Report) {
+	until := d.term.ValidUntil
+	if !d.leads() {
+		until = d.keepsUntil()
+	}
+	d.agent.Commands(m.addr, protocol.Commands{Epoch: epoch, Shift: shift, Orders: orders}, until, func(status int, r protocol.Report) {
 		if d.term.Epoch != epoch || d.machines[m.name] != m {
 			return
 		}
@@ -332,7 +343,7 @@
 		}
 	}
 	d.unplace(j, p)
-	if j.Final() {
+	if j.over() {
 		return
 	}
 	switch t.Cause {
@@ -406,7 +417,7 @@
 
 // stopping says whether and how a placed task is to be stopped.
 func (d *Dispatch) stopping(j *job, p ledger.Placement) *stop {
-	if j.Final() {
+	if j.over() {
 		return &stop{why: "over"}
 	}
 	if s, ok := j.stops[p.Task]; ok {
@@ -430,7 +441,7 @@
 	try := int64(0)
 	for _, p := range j.Placed {
 		m := d.machines[p.Machine]
-		if p.Try <= j.spoilt || try != 0 && p.Try != try || m == nil || !d.synced(m) || !d.lively(m) || m.recallAt != 0 {
+		if p.Try <= j.spoilt || try != 0 && p.Try != try || m == nil || !d.synced(m) || !d.renewed(m) || m.recallAt != 0 {
 			return false
 		}
 		try = p.Try
@@ -444,16 +455,18 @@
 // orders is what the worker should do now, given its last report. Orders can
 // be repeated; beat answers carry all, direct commands only what is due.
 func (d *Dispatch) orders(m *machine, beat bool) []protocol.Order {
-	orders := []protocol.Order{}
+	orders := append([]protocol.Order{}, d.endings(m, beat)...)
 	if !d.synced(m) {
 		return orders // its answer to the new epoch comes first
 	}
 	now := d.now()
 	// An order just sent by one way isn't sent again by the other.
-	due := func(at clock.Micros) bool { return at == 0 || now-at >= clock.Second }
+	due := func(at clock.Micros) bool { return at == 0 || now-at >= repeatTime }
 	for id, tasks := range inOrder(m.placed) {
 		j := d.jobs[id]
-		if j == nil {
+		if j == nil || j.over() {
+			// Nothing of a job that is over is started, not even to be stopped at once:
+			// while a start may still arrive, its place is kept until the session ends.
 			continue
 		}
 		for _, p := range inOrder(tasks) {
@@ -467,11 +480,7 @@
 				continue
 			}
 			st := d.stopping(j, p)
-			s := m.sent[ref]
-			if s == nil {
-				s = &sent{}
-				m.sent[ref] = s
-			}
+			s := m.sentOf(ref)
 			name := protocol.TaskName(id, p.Task)
 			if !there && (st == nil || d.mayArrive(m, ref)) && due(s.startAt) {
 				// With a stop wanted, a start that may still arrive is made to
@@ -487,10 +496,9 @@
 			}
 		}
 	}
-	for _, ref := range slices.SortedFunc(maps.Keys(m.tasks), compareRefs) {
-		t := m.tasks[ref]
+	for ref, t := range inRefOrder(m.tasks) {
 		j := d.jobs[ref.job]
-		if d.unreadable[ref.job] {
+		if d.unreadable[ref.job] || j != nil && j.over() && t.Status != protocol.TaskExited {
 			continue
 		}
 		if j != nil {
@@ -514,14 +522,20 @@
 
 // pushOrders sends what is due directly, without waiting for the next report.
 func (d *Dispatch) pushOrders(m *machine) {
-	if !d.leads() || m.addr == "" || m.expired {
+	leads := d.leads()
+	if !leads && !d.keeps() || m.addr == "" || m.expired {
 		return
 	}
 	if m.calling {
 		m.callAgain = true
 		return
 	}
-	orders := d.orders(m, false)
+	var orders []protocol.Order
+	if leads {
+		orders = d.orders(m, false)
+	} else if orders = d.endings(m, false); len(orders) == 0 {
+		return
+	}
 	if len(orders) == 0 && (d.synced(m) || m.syncedAt != 0 && d.now() < m.syncedAt+remindTime) {
 		return
 	}
@@ -549,6 +563,30 @@
 	})
 }
 
+// repeatTime is after which an order that seems not to have arrived is repeated.
+const repeatTime = clock.Second
+
+// sentOf is what is known of a try's orders.
+func (m *machine) sentOf(ref taskRef) *sent {
+	s := m.sent[ref]
+	if s == nil {
+		s = &sent{}
+		m.sent[ref] = s
+	}
+	return s
+}
+
+// inRefOrder goes through a machine's tasks in their order.
+func inRefOrder(tasks map[taskRef]protocol.TaskReport) iter.Seq2[taskRef, protocol.TaskReport] {
+	return func(yield func(taskRef, protocol.TaskReport) bool) {
+		for _, ref := range slices.SortedFunc(maps.Keys(tasks), compareRefs) {
+			if !yield(ref, tasks[ref]) {
+				return
+			}
+		}
+	}
+}
+
 func compareRefs(a, b taskRef) int {
 	return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.task, b.task), cmp.Compare(a.try, b.try))
 }
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -187,7 +187,7 @@
 	worth := false
 	for id, tasks := range m.placed {
 		j := d.jobs[id]
-		if j.Final() || j.Spec.CheckpointS == 0 || j.Spec.Gang() && j.Spec.Tasks > 1 && (j.moved || !d.settled(j)) {
+		if j.over() || j.Spec.CheckpointS == 0 || j.Spec.Gang() && j.Spec.Tasks > 1 && (j.moved || !d.settled(j)) {
 			return false
 		}
 		for _, p := range tasks {
@@ -248,7 +248,7 @@
 			team.BacklogS += j.Spec.EstimateS * left.Share(team.Limit)
 		}
 		s.Teams[j.Spec.Team] = team
-		if j.Final() || j.reread {
+		if j.over() || j.reread {
 			continue
 		}
 		pj := planner.Job{ID: j.Spec.ID, Spec: &j.Spec, Rank: protocol.RankOf(j.Spec.Rank), SubmittedAt: j.SubmittedAt,
@@ -561,7 +561,7 @@
 func (d *Dispatch) planned(m *machine, now clock.Micros) (planner.Machine, bool) {
 	t, known := d.types[m.typ]
 	if !known || m.releasing || m.quarantine || m.recallAt != 0 || now < m.fullUntil ||
-		m.seen && (m.cordoned || m.unheeding || !d.synced(m) || !d.lively(m)) {
+		m.seen && (m.cordoned || m.unheeding || !d.synced(m) || !d.renewed(m)) {
 		return planner.Machine{}, false
 	}
 	if m.viewStale {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -22,6 +22,8 @@
 	Submit Kind = iota + 1
 	Show
 	Cancel
+	// Attest is asked by a node, not by a user: see Attestation.
+	Attest
 )
 
 // Request is a user's request. Forwarded ones come from another node, which
@@ -60,6 +62,12 @@
 	// answered; probing tells that they are being asked.
 	servedAt, peersAt clock.Micros
 	probing           bool
+	// began is when this process did, epoch its highest election, told when its
+	// users were first told of cancellations, toldAt when old ones were last dropped.
+	began  clock.Micros
+	epoch  int64
+	told   map[string]clock.Micros
+	toldAt clock.Micros
 }
 
 const (
@@ -69,7 +77,8 @@
 )
 
 func New(m actor.Mailbox, s statestore.Store, set *settings.Settings, forward Forward) *Intake {
-	return &Intake{mailbox: m, store: s, set: set, forward: forward, finals: map[string]protocol.JobStatus{}}
+	return &Intake{mailbox: m, store: s, set: set, forward: forward, finals: map[string]protocol.JobStatus{},
+		began: m.Steady(), told: map[string]clock.Micros{}}
 }
 
 // Types is told of each new catalogue.
@@ -136,6 +145,10 @@
 func (in *Intake) Handle(r Request, reply func(Answer)) {
 	in.mailbox.Post(func() {
 		c := &call{in: in, r: r, reply: reply}
+		if r.Kind == Attest {
+			c.attestation()
+			return
+		}
 		if in.mailbox.Steady() < in.badUntil {
 			c.elsewhere()
 			return
@@ -246,6 +259,9 @@
 }
 
 func (in *Intake) keep(s protocol.JobStatus) {
+	if s.Status == protocol.StatusCancelled {
+		in.tell(s.ID)
+	}
 	if len(in.finals) >= maxFinals {
 		clear(in.finals) // rare, and only costs reading again
 	}
@@ -350,7 +366,7 @@
 			c.answer(http.StatusOK, j.UserStatus())
 			return
 		}
-		j.Status = protocol.StatusCancelled
+		j.Status, j.CancelledAt = protocol.StatusCancelled, int64(c.in.mailbox.OfDay())
 		key := ledger.Key(c.r.ID)
 		t := protocol.Txn{
 			Guards:  []protocol.Guard{{Key: key, Version: version}},
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -32,6 +32,7 @@
 	Spec        protocol.JobSpec
 	Status      string // empty, StatusDone or StatusCancelled; the latter two are final
 	SubmittedAt int64  // time of day in microseconds, by the accepting node
+	CancelledAt int64  // likewise, by the cancelling node before its user is told
 	Done        Ranges
 	NextTry     int64
 	Placed      map[int]Placement
@@ -45,6 +46,7 @@
 	Spec        protocol.JobSpec `msgpack:"spec"`
 	Status      string           `msgpack:"status,omitempty"`
 	SubmittedAt int64            `msgpack:"at"`
+	CancelledAt int64            `msgpack:"cancelled,omitempty"`
 	Done        string           `msgpack:"done,omitempty"`
 	NextTry     int64            `msgpack:"try"`
 	Placed      []string         `msgpack:"placed,omitempty"`
@@ -67,8 +69,8 @@
 
 // Encode gives the value to store.
 func (j *Job) Encode() []byte {
-	return protocol.Encode(record{Spec: j.Spec, Status: j.Status, SubmittedAt: j.SubmittedAt, Done: j.Done.String(),
-		NextTry: j.NextTry, Lenders: j.Lenders, Cause: j.Cause, Placed: j.places()})
+	return protocol.Encode(record{Spec: j.Spec, Status: j.Status, SubmittedAt: j.SubmittedAt, CancelledAt: j.CancelledAt,
+		Done: j.Done.String(), NextTry: j.NextTry, Lenders: j.Lenders, Cause: j.Cause, Placed: j.places()})
 }
 
 // places are the texts of the placements: one for all tasks with the same try on
@@ -101,8 +103,8 @@
 	if err != nil {
 		return nil, err
 	}
-	j := &Job{Spec: r.Spec, Status: r.Status, SubmittedAt: r.SubmittedAt, Done: done, NextTry: r.NextTry,
-		Placed: map[int]Placement{}, Lenders: r.Lenders, Cause: r.Cause}
+	j := &Job{Spec: r.Spec, Status: r.Status, SubmittedAt: r.SubmittedAt, CancelledAt: r.CancelledAt,
+		Done: done, NextTry: r.NextTry, Placed: map[int]Placement{}, Lenders: r.Lenders, Cause: r.Cause}
 	for _, text := range r.Placed {
 		p, set, err := parsePlacement(text)
 		if err != nil {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -65,6 +65,30 @@
 	}()
 }
 
+// Everyone asks all nodes at once, this one included. ok tells that all have answered.
+func (f *Forwarder) Everyone(own *intake.Intake, r intake.Request, done func(answers []intake.Answer, ok bool)) {
+	answers := make(chan intake.Answer, len(f.addrs)+1)
+	own.Handle(r, func(a intake.Answer) { answers <- a })
+	for _, addr := range f.addrs {
+		go func() {
+			a, err := ask(addr, r)
+			if err != nil {
+				slog.Debug("peer does not answer", "peer", addr, "error", err)
+			}
+			answers <- a // without one, its status is 0
+		}()
+	}
+	go func() {
+		var all []intake.Answer
+		for range len(f.addrs) + 1 {
+			if a := <-answers; a.Status != 0 {
+				all = append(all, a)
+			}
+		}
+		f.mailbox.Post(func() { done(all, len(all) == len(f.addrs)+1) })
+	}()
+}
+
 func ask(addr string, r intake.Request) (intake.Answer, error) {
 	c, err := net.DialTimeout("tcp4", addr, dialTime)
 	if err != nil {
--- a/internal/testkit/cloud.go
+++ b/internal/testkit/cloud.go
@@ -20,6 +20,8 @@
 	Types    []protocol.MachineType
 	Capacity map[fleet.Kind]int
 	Outage   bool
+	// Reliable clouds rent no machine that never comes up.
+	Reliable bool
 	Calls    int
 	bookings map[string][]string
 	machines map[string]*Worker
--- a/internal/testkit/deployment.go
+++ b/internal/testkit/deployment.go
@@ -27,6 +27,7 @@
 	cancelled clock.Micros
 	wantsEnd  bool
 	heardAt   clock.Micros // when its user last got an answer
+	idleAt    clock.Micros // when it last ran, or couldn't have: see WatchRoom
 	submitted clock.Micros
 	began     clock.Micros // when its first task had its image
 	gone      map[int]bool // completed tasks
@@ -57,11 +58,16 @@
 	Cloud    *Cloud
 	Nodes    []*Node
 	Loss     float64
-	jobs     map[string]*Job
-	order    []*Job
-	byAddr   map[string]*Worker
-	used     map[string]planner.Amounts // by team, on machines
-	Commands int                        // direct ones
+	// CancelAtEnd is the share of jobs that are called off at the moment of their end.
+	CancelAtEnd float64
+	// disturbedAt is when a node or what it needs to return a machine was last seen
+	// troubled, if WatchService looks.
+	disturbedAt clock.Micros
+	jobs        map[string]*Job
+	order       []*Job
+	byAddr      map[string]*Worker
+	used        map[string]planner.Amounts // by team, on machines
+	Commands    int                        // direct ones
 }
 
 // NewDeployment starts three nodes.
@@ -112,9 +118,13 @@
 	n.Dispatch = dispatch.New(p, state, d.Cloud.For(p, &n.Clouds), &agentClient{d, p, n}, &set,
 		func(epoch int64) { leader.Deposed(epoch) },
 		func() { leader.Resign() },
+		func(back clock.Micros, done func([]intake.Attestation, bool)) { d.everyone(n, back, done) },
 		func(types []protocol.MachineType) { users.Types(types) })
 	leader = leadership.New(p, state, leadership.Config{Node: n.Name, Incarnation: fmt.Sprint(n.runs), TTL: 4 * clock.Second},
-		n.Dispatch.Term, n.Dispatch.Leader)
+		func(t leadership.Term) {
+			users.Elected(t.Epoch)
+			n.Dispatch.Term(t)
+		}, n.Dispatch.Leader)
 	users = intake.New(p, state, &set, func(r intake.Request, done func(intake.Answer, bool)) {
 		var others []*Node
 		for _, o := range d.Nodes {
@@ -129,7 +139,9 @@
 		o := others[d.World.Rand.IntN(len(others))]
 		r.Forwarded = true
 		n.Peers.call(p, clock.Second, func(answer func(func())) {
-			o.Intake.Handle(r, func(a intake.Answer) { answer(func() { done(a, true) }) })
+			if !o.Peers.Cut {
+				o.Intake.Handle(r, func(a intake.Answer) { answer(func() { done(a, true) }) })
+			}
 		}, func() { done(intake.Answer{}, false) })
 	})
 	n.Intake = users
@@ -137,6 +149,32 @@
 	leader.Start()
 }
 
+// everyone asks all nodes for their attestations, in the form that they have between
+// nodes.
+func (d *Deployment) everyone(n *Node, back clock.Micros, done func([]intake.Attestation, bool)) {
+	p, left := n.proc, len(d.Nodes)
+	var answers []intake.Answer
+	collect := func(a intake.Answer, ok bool) {
+		if ok {
+			answers = append(answers, a)
+		}
+		if left--; left == 0 {
+			done(intake.Attestations(answers, len(answers) == len(d.Nodes)))
+		}
+	}
+	for _, o := range d.Nodes {
+		if o == n {
+			n.Intake.Handle(intake.AttestRequest(back), func(a intake.Answer) { p.Post(func() { collect(a, true) }) })
+			continue
+		}
+		n.Peers.call(p, clock.Second, func(answer func(func())) {
+			if o.proc != nil && o.proc.alive && !o.Peers.Cut {
+				o.Intake.Handle(intake.AttestRequest(back), func(a intake.Answer) { answer(func() { collect(a, true) }) })
+			}
+		}, func() { collect(intake.Answer{}, false) })
+	}
+}
+
 // ask sends a user's request to any node; no answer within the user's time is
 // status 0.
 func (d *Deployment) ask(r intake.Request, done func(status int, s protocol.JobStatus)) {
@@ -203,6 +241,15 @@
 	})
 }
 
+// Refused has a user submit what must not be accepted.
+func (d *Deployment) Refused(body []byte) {
+	d.ask(intake.Request{Kind: intake.Submit, Body: body}, func(status int, _ protocol.JobStatus) {
+		if status == http.StatusOK || status == http.StatusCreated {
+			d.World.Break("accepted", "answered %d: %x", status, body)
+		}
+	})
+}
+
 func (d *Deployment) poll(j *Job) {
 	d.World.After(d.World.Between(3*clock.Second, 6*clock.Second), func() {
 		before := j.told
@@ -261,6 +308,12 @@
 					d.World.Break("ran_cancelled", "%s/%d is still there", j.spec.ID, t)
 				}
 			}
+			for _, m := range d.Cloud.all {
+				// Its lease had not ended before: that would have proven it gone.
+				if m.ghosts[j.spec.ID] > j.cancelled && d.World.now > d.disturbedAt+returnable {
+					d.World.Break("ran_cancelled", "%s is still on %s, which hangs", j.spec.ID, m.name)
+				}
+			}
 		})
 	}
 }
@@ -296,6 +349,9 @@
 	j.places[k.task][m] = true
 	used := d.used[j.spec.Team].Plus(j.needs())
 	d.used[j.spec.Team] = used
+	if j.gone[k.task] {
+		return // it has its result and exits at this very moment: nothing is used
+	}
 	team, _ := d.Settings.Deployment.Team(j.spec.Team)
 	if team.CpusMax > 0 && used.Cpus > team.CpusMax+1e-6 || team.GpusMax > 0 && used.Gpus > team.GpusMax+1e-6 {
 		d.World.Break("quota", "%s uses %v", j.spec.Team, used)
@@ -394,6 +450,80 @@
 	check()
 }
 
+// WatchService notes when nodes, the state service or the cloud are troubled. A machine
+// that hangs can only be rid of what was cancelled by returning it, which takes a
+// leader and the cloud: that much of quiet before the time is over must suffice.
+func (d *Deployment) WatchService() {
+	troubled := d.Cloud.Outage || d.State.outage || d.State.LateWrites > 0
+	for _, n := range d.Nodes {
+		troubled = troubled || !n.proc.alive || n.proc.still || n.State.Cut || n.State.Refused || n.Clouds.Cut || n.Workers.Cut
+	}
+	if troubled {
+		d.disturbedAt = d.World.now
+	}
+	d.World.After(250*clock.Millisecond, d.WatchService)
+}
+
+const returnable = 12 * clock.Second
+
+// WatchRoom sees to it that from now on no job waits for 90 s while machines that
+// fit have room for it and its team is under its limit. What zones of several tasks
+// allow depends on each other, so that only jobs without such wishes are watched.
+func (d *Deployment) WatchRoom() {
+	const longest = 90 * clock.Second
+	began := d.World.now
+	var check func()
+	check = func() {
+		for _, j := range d.order {
+			if !j.accepted || j.wantsEnd || j.told != "" || j.mistaken || d.onMachines(j) || !d.roomFor(j) {
+				j.idleAt = d.World.now
+			} else if d.World.now > max(j.idleAt, began)+longest {
+				d.World.Break("left_waiting", "%s since %.0f s", j.spec.ID, j.idleAt.Seconds())
+			}
+		}
+		d.World.After(2*clock.Second, check)
+	}
+	check()
+}
+
+// onMachines tells that something of a job runs, waits or is being fetched.
+func (d *Deployment) onMachines(j *Job) bool {
+	for _, m := range d.Cloud.all {
+		for _, t := range m.tasks {
+			if t.job == j.spec.ID && t.status != protocol.TaskExited {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// roomFor tells that a task of an array, or all of a gang, fit on machines that are up.
+func (d *Deployment) roomFor(j *Job) bool {
+	s := &j.spec
+	missing := 1
+	if s.Gang() {
+		missing = s.Tasks
+	}
+	if s.OneZone || s.Spread {
+		return false
+	}
+	team, _ := d.Settings.Deployment.Team(s.Team)
+	all := d.used[s.Team].Plus(j.needs().Times(float64(missing)))
+	if team.CpusMax > 0 && all.Cpus > team.CpusMax || team.GpusMax > 0 && all.Gpus > team.GpusMax {
+		return false
+	}
+	for _, m := range d.Workers() {
+		if m.recallAt != 0 || !planner.Allowed(s, m.typ, m.zone, m.spot) {
+			continue
+		}
+		for free := m.free(); missing > 0 && j.needs().Fits(free); missing-- {
+			free = free.Minus(j.needs())
+		}
+	}
+	return missing == 0
+}
+
 // sortedKeys are the machines of a set by their names.
 func sortedKeys(set map[*Worker]bool) []*Worker {
 	return slices.SortedFunc(maps.Keys(set), func(a, b *Worker) int { return cmp.Compare(a.name, b.name) })
--- a/internal/testkit/rules_test.go
+++ b/internal/testkit/rules_test.go
@@ -49,6 +49,9 @@
 		s.Shape, s.Tasks = protocol.ShapeGang, 1+r.IntN(4)
 		s.OneZone = w.chance(0.4)
 		s.Spread = !s.OneZone && w.chance(0.4)
+	} else if w.chance(0.3) {
+		s.OneZone = w.chance(0.6)
+		s.Spread = !s.OneZone
 	}
 	if w.chance(0.2) {
 		s.Gpus = 1
@@ -79,7 +82,55 @@
 	if up := d.Workers(); len(up) > 0 {
 		m = up[w.Rand.IntN(len(up))]
 	}
-	switch w.Rand.IntN(19) {
+	// Whoever leads is hit more often than it would be by chance.
+	if w.chance(0.4) {
+		for _, o := range d.Nodes {
+			if o.proc.alive && o.Dispatch.Leads() {
+				n = o
+			}
+		}
+	}
+	refuse := func(n *Node, d clock.Micros) {
+		n.State.Refused = true
+		w.After(d, func() { n.State.Refused = false })
+	}
+	outage := func(long clock.Micros) {
+		d.State.Outage(true)
+		w.After(long, func() { d.State.Outage(false) })
+	}
+	switch w.Rand.IntN(24) {
+	case 15, 16:
+		// The state service refuses one node, users cancel through the others, and
+		// then it is out for everybody, for longer than a cancellation may take.
+		refuse(n, long)
+		cancelNow(d, w.Between(1, 8), 0)
+		w.After(w.Between(0, 3*clock.Second), func() { outage(w.Between(2*clock.Second, 40*clock.Second)) })
+	case 17:
+		refuse(n, long)
+	case 18:
+		share := d.State.LateWrites
+		d.State.LateWrites = 0.3
+		w.After(long, func() { d.State.LateWrites = share })
+	case 19:
+		d.CancelAtEnd = 0.5
+		w.After(long, func() { d.CancelAtEnd = 0 })
+	case 20:
+		// Leaders change every few seconds.
+		for i := range clock.Micros(5) {
+			w.After(i*w.Between(2*clock.Second, 6*clock.Second), func() {
+				for _, o := range d.Nodes {
+					if o.proc.alive && o.Dispatch.Leads() {
+						restart(o)
+						return
+					}
+				}
+			})
+		}
+	case 21, 22:
+		// Users call off what runs, and some of its machines hang.
+		cancelNow(d, 8, w.Between(0, 60*clock.Second))
+	case 23:
+		oddRequests(d)
 	case 9, 10:
 		// A node is left with the workers, which have the others as well.
 		cut(&n.State, w.chance(0.5), long)
@@ -124,8 +175,7 @@
 		cut(&n.Workers, false, long)
 		cut(&n.Peers, false, long)
 	case 5:
-		d.State.Outage(true)
-		w.After(min(long, 20*clock.Second), func() { d.State.Outage(false) })
+		outage(long)
 	case 6:
 		d.Cloud.Outage = true
 		w.After(long, func() { d.Cloud.Outage = false })
@@ -133,7 +183,10 @@
 	if m == nil {
 		return
 	}
-	switch w.Rand.IntN(10) {
+	switch w.Rand.IntN(12) {
+	case 10, 11:
+		m.Mute = true
+		w.After(long, func() { m.Mute = false })
 	case 8, 9:
 		m.Unheeding = true
 		w.After(long, func() { m.Unheeding = false })
@@ -155,6 +208,59 @@
 	}
 }
 
+// cancelNow has users call off up to n jobs that run, within a fifth of a second, and
+// some of their machines hang that long.
+func cancelNow(d *Deployment, n, hang clock.Micros) {
+	w := d.World
+	hung := 0
+	for _, j := range d.Jobs() {
+		if n == 0 || !j.accepted || j.wantsEnd || j.told != "" || !d.onMachines(j) {
+			continue
+		}
+		n--
+		w.After(w.Between(0, 200*clock.Millisecond), func() { d.Cancel(j) })
+		for t := range j.spec.Tasks {
+			for _, m := range sortedKeys(j.places[t]) {
+				if hung++; hang > 0 && hung <= 3 && !m.Hung {
+					m.Hung = true
+					w.After(hang, m.Resume)
+				}
+			}
+		}
+	}
+}
+
+// oddRequests has users repeat what is under way, cancel what is done, and send what
+// can't run or lacks a field.
+func oddRequests(d *Deployment) {
+	for i, j := range d.Jobs() {
+		switch {
+		case j.accepted && j.told == "":
+			d.submit(j)
+		case j.told == protocol.StatusDone && i%3 == 0:
+			d.Cancel(j)
+		}
+	}
+	good := protocol.JobSpec{ID: "job-900001", Class: "c", Team: "limited", Shape: protocol.ShapeArray, Rank: "normal",
+		Tasks: 2, Cpus: 2, MemoryGB: 1, Image: "i", EstimateS: 5}
+	huge, greedy, unknown := good, good, good
+	huge.MemoryGB = 4096
+	greedy.Shape, greedy.Tasks, greedy.Gpus = protocol.ShapeGang, 5, 1
+	unknown.Team = "nobody"
+	for _, s := range []protocol.JobSpec{huge, greedy, unknown} {
+		d.Refused(protocol.Encode(s))
+	}
+	for _, field := range []string{"Lane", "Desk", "Shape", "Rank", "Legs", "Vcpus", "Gpus", "MemGb", "Bundle", "PullGb", "SamePlace",
+		"Spread", "Loaners", "ExpectedS", "SnapshotS", "FlushS"} {
+		var fields map[string]any
+		if err := protocol.Decode(protocol.Encode(good), &fields); err != nil {
+			panic(err)
+		}
+		delete(fields, field)
+		d.Refused(protocol.Encode(fields))
+	}
+}
+
 // play runs a day of 240 s of troubles and gives it time to end.
 func play(seed uint64, guards ...func(*Deployment)) *Deployment {
 	w := NewWorld(seed)
@@ -162,24 +268,36 @@
 	for _, g := range guards {
 		g(d)
 	}
+	d.WatchService()
 	const day = 240 * clock.Second
 	for i := range 30 {
 		w.After(w.Between(0, day), func() {
-			j := d.Submit(randomSpec(w, i), w.Between(2*clock.Second, 30*clock.Second), w.chance(0.05))
+			run := w.Between(2*clock.Second, 30*clock.Second)
+			if w.chance(0.2) {
+				run = w.Between(40*clock.Second, 120*clock.Second)
+			}
+			j := d.Submit(randomSpec(w, i), run, w.chance(0.05))
 			if w.chance(0.25) || j.mistaken {
 				w.After(w.Between(0, 40*clock.Second), func() { d.Cancel(j) })
 			}
 		})
 	}
-	for range 16 {
-		w.After(w.Between(5*clock.Second, day), func() { trouble(d) })
+	for range 10 {
+		w.After(w.Between(5*clock.Second, day), func() {
+			trouble(d)
+			// Rules break where troubles meet.
+			for range 2 {
+				w.After(w.Between(0, 4*clock.Second), func() { trouble(d) })
+			}
+		})
 	}
-	w.Run(day + 60*clock.Second)
+	w.Run(day + 90*clock.Second)
 	for _, n := range d.Nodes {
 		d.StartNode(n)
 	}
 	d.WatchAnswers()
-	w.Run(day + 600*clock.Second)
+	d.WatchRoom()
+	w.Run(day + 900*clock.Second)
 	return d
 }
 
--- a/internal/testkit/scenes_test.go
+++ b/internal/testkit/scenes_test.go
@@ -425,6 +425,7 @@
 	set := testSettings()
 	set.Deployment.Objectives = []settings.Objective{{Kind: "finished", Class: "small", WithinS: 60, Share: 0.9}}
 	d := NewDeployment(w, set, testTypes(), 0)
+	d.Cloud.Reliable = true // or how much is done is a matter of luck
 	w.Run(10 * clock.Second)
 	huge := d.Submit(protocol.JobSpec{ID: "job-000001", Class: "huge", Team: "open", Shape: protocol.ShapeArray, Rank: "normal",
 		Tasks: 100_000, Cpus: 1, MemoryGB: 1, Image: "i", EstimateS: 20}, 20*clock.Second, false)
--- a/internal/testkit/state.go
+++ b/internal/testkit/state.go
@@ -24,6 +24,7 @@
 type watcher struct {
 	prefix string
 	from   int64
+	link   *Link
 	reply  func()
 	done   bool
 }
@@ -38,6 +39,9 @@
 	leaseSeq int64
 	watchers []*watcher
 	outage   bool
+	// LateWrites is the share of transactions that get no answer and are carried out
+	// seconds later, after newer ones.
+	LateWrites float64
 	// Changes and Requests count puts and all requests, for tests that bound them.
 	Changes, Requests int
 	// Kept is how many changes followers may be behind, Page what a list gives at
@@ -97,7 +101,7 @@
 	waiting := s.watchers
 	s.watchers = nil
 	for _, x := range waiting {
-		if len(s.since(x.prefix, x.from)) > 0 {
+		if !x.link.Refused && len(s.since(x.prefix, x.from)) > 0 {
 			x.done = true
 			x.reply()
 		} else if !x.done {
@@ -152,14 +156,29 @@
 // holds tells whether the leader's key stands since the given epoch.
 func (s *State) holds(epoch int64) bool { return s.keys[leadership.Key].version == epoch }
 
-// placed tells whether a job's record has a try on a machine.
-func (s *State) placed(k taskKey, try int64, machine string) bool {
-	e, ok := s.keys[ledger.Key(k.job)]
+// record is what a job's record says; nil if there is none.
+func (s *State) record(job string) *ledger.Job {
+	e, ok := s.keys[ledger.Key(job)]
 	if !ok {
-		return false
+		return nil
 	}
 	j, err := ledger.Decode(e.value)
-	return err == nil && j.Placed[k.task].Try == try && j.Placed[k.task].Machine == machine
+	if err != nil {
+		return nil
+	}
+	return j
+}
+
+// placed tells whether a job's record has a try on a machine.
+func (s *State) placed(k taskKey, try int64, machine string) bool {
+	j := s.record(k.job)
+	return j != nil && j.Placed[k.task].Try == try && j.Placed[k.task].Machine == machine
+}
+
+// over tells whether a job's record is final.
+func (s *State) over(job string) bool {
+	j := s.record(job)
+	return j != nil && j.Final()
 }
 
 // For is the service as one process reaches it over a link.
@@ -174,7 +193,7 @@
 func request[T any](c *stateClient, timeout clock.Micros, done func(statestore.Reply[T]), execute func() statestore.Reply[T]) {
 	c.l.call(c.p, timeout, func(answer func(func())) {
 		c.s.Requests++
-		if c.s.outage {
+		if !c.served() {
 			answer(func() { done(statestore.Reply[T]{Status: http.StatusServiceUnavailable}) })
 			return
 		}
@@ -187,6 +206,9 @@
 	}, func() { done(statestore.Reply[T]{}) })
 }
 
+// served tells that the service takes requests of this node.
+func (c *stateClient) served() bool { return !c.s.outage && !c.l.Refused }
+
 const callTime = 1500 * clock.Millisecond
 
 func (c *stateClient) Get(key string, done func(statestore.Reply[protocol.Item])) {
@@ -229,24 +251,39 @@
 	if use == statestore.ForLeader && !guarded[leadership.Key] {
 		c.s.w.Break("unguarded", "a leader's change without the leader's key")
 	}
+	if c.s.w.chance(c.s.LateWrites) {
+		c.p.leaves(func() {
+			c.s.w.After(c.s.w.Between(2*clock.Second, 12*clock.Second), func() {
+				if c.served() {
+					c.s.commit(t)
+				}
+			})
+		})
+		c.p.After(callTime, func() { done(statestore.Reply[protocol.TxnAnswer]{}) })
+		return
+	}
 	request(c, callTime, done, func() statestore.Reply[protocol.TxnAnswer] { return c.s.commit(t) })
 }
 
 func (c *stateClient) Follow(prefix string, from int64, block clock.Micros, done func(statestore.Reply[protocol.FollowAnswer])) {
 	c.l.call(c.p, block+callTime, func(answer func(func())) {
 		c.s.Requests++
+		if !c.served() {
+			answer(func() { done(statestore.Reply[protocol.FollowAnswer]{Status: http.StatusServiceUnavailable}) })
+			return
+		}
 		if len(c.s.log) > 0 && c.s.revision-from > c.s.Kept {
 			answer(func() { done(statestore.Reply[protocol.FollowAnswer]{Status: http.StatusGone}) })
 			return
 		}
-		x := &watcher{prefix: prefix, from: from}
+		x := &watcher{prefix: prefix, from: from, link: c.l}
 		x.reply = func() {
 			f := protocol.FollowAnswer{Revision: c.s.revision, Events: c.s.since(prefix, from)}
 			answer(func() { done(statestore.Reply[protocol.FollowAnswer]{Status: http.StatusOK, Value: f}) })
 		}
 		c.s.watchers = append(c.s.watchers, x)
 		c.s.w.After(block, func() {
-			if !x.done && !c.s.outage {
+			if !x.done && c.served() {
 				x.done = true
 				x.reply()
 			}
--- a/internal/testkit/worker.go
+++ b/internal/testkit/worker.go
@@ -7,6 +7,7 @@
 	"postpoint/internal/agent"
 	"postpoint/internal/clock"
 	"postpoint/internal/fleet"
+	"postpoint/internal/planner"
 	"postpoint/internal/protocol"
 	"postpoint/internal/transport"
 )
@@ -50,9 +51,14 @@
 	// Hung machines do nothing until they go on, but their leases run out.
 	Hung   bool
 	frozen []func()
+	// ghosts are the jobs whose tasks were on the machine when its lease ended while it
+	// hung, and when that was: they are there until it goes on.
+	ghosts map[string]clock.Micros
 	// Link carries reports and their answers, Commands what the nodes send
 	// directly.
 	Link, Commands Link
+	// Mute machines reach no node; what the nodes send directly reaches them.
+	Mute bool
 	// Unheeding machines send their reports, but neither answers nor commands
 	// reach them.
 	Unheeding bool
@@ -69,7 +75,7 @@
 		status: protocol.MachineStarting, rentedAt: d.World.now, Link: Link{w: d.World, Loss: d.Loss},
 		Commands: Link{w: d.World, Loss: d.Loss}, Late: 2 * d.Loss, forgotten: map[taskRef]bool{}}
 	d.byAddr[m.addr] = m
-	if d.World.chance(0.03) {
+	if d.World.chance(0.03) && !d.Cloud.Reliable {
 		return m // never comes up
 	}
 	d.World.After(d.World.Between(clock.Second, 15*clock.Second), func() {
@@ -86,7 +92,7 @@
 }
 
 func (m *Worker) end() {
-	m.ended, m.up = true, false
+	m.ended, m.up, m.ghosts = true, false, nil
 	m.killAll()
 }
 
@@ -125,7 +131,7 @@
 
 // Resume lets a hung machine go on: its lease first, then what waited.
 func (m *Worker) Resume() {
-	m.Hung = false
+	m.Hung, m.ghosts = false, nil
 	frozen := m.frozen
 	m.frozen = nil
 	for _, f := range frozen {
@@ -141,6 +147,16 @@
 		if m.ended || m.answeredSent+lease != due {
 			return
 		}
+		if m.Hung {
+			if m.ghosts == nil {
+				m.ghosts = map[string]clock.Micros{}
+			}
+			for _, t := range m.tasks {
+				if t.onIt {
+					m.ghosts[t.job] = w.now
+				}
+			}
+		}
 		m.killAll()
 		m.shift++
 		clear(m.forgotten)
@@ -212,7 +228,7 @@
 	w.After(answerTime, func() { finish(another, clock.Second) })
 	n := m.d.Nodes[m.node]
 	arrive := func() {
-		if n.proc == nil || !n.proc.alive || n.Workers.Cut {
+		if n.proc == nil || !n.proc.alive || n.Workers.Cut || m.Mute {
 			return
 		}
 		proc := n.proc
@@ -253,7 +269,7 @@
 	if w.chance(m.Late) {
 		// Nobody waits for what is answered to a copy, which counts for nothing.
 		w.After(w.Between(clock.Second, 3*m.d.Settings.Deployment.Workers.Lease()), func() {
-			if n.proc != nil && n.proc.alive && !n.Workers.Cut {
+			if n.proc != nil && n.proc.alive && !n.Workers.Cut && !m.Mute {
 				n.Dispatch.Beat(r, func(int, any) {})
 			}
 		})
@@ -390,20 +406,22 @@
 	})
 }
 
-func (m *Worker) fits(j *Job) bool {
+func (m *Worker) fits(j *Job) bool { return j.needs().Fits(m.free()) }
+
+// free is what the tasks on the machine leave of it.
+func (m *Worker) free() planner.Amounts {
+	var free planner.Amounts
 	for _, ty := range m.d.Cloud.Types {
-		if ty.Name != m.typ {
-			continue
+		if ty.Name == m.typ {
+			free = fleet.Whole(ty)
 		}
-		free := fleet.Whole(ty)
-		for _, t := range m.tasks {
-			if o := m.d.jobs[t.job]; o != nil && t.status != protocol.TaskExited {
-				free = free.Minus(o.needs())
-			}
+	}
+	for _, t := range m.tasks {
+		if o := m.d.jobs[t.job]; o != nil && t.status != protocol.TaskExited {
+			free = free.Minus(o.needs())
 		}
-		return j.needs().Fits(free)
 	}
-	return false
+	return free
 }
 
 func (m *Worker) run(t *task, j *Job) {
@@ -425,7 +443,12 @@
 func (m *Worker) exit(t *task, cause string) {
 	t.status, t.cause = protocol.TaskExited, cause
 	if cause == protocol.CauseDone {
-		m.d.jobs[t.job].gone[t.task] = true
+		j := m.d.jobs[t.job]
+		was := j.Done()
+		j.gone[t.task] = true
+		if !was && j.Done() && m.d.World.chance(m.d.CancelAtEnd) {
+			m.d.Cancel(j)
+		}
 	}
 	m.leave(t)
 	m.change()
@@ -495,13 +518,29 @@
 	}, silent)
 }
 
-// checkLease sees to it that nobody gives orders without the leader's lease.
+// checkLease sees to it that nobody gives orders without the leader's lease, but to
+// stop what by its record is over: that ends nothing that a later leader could want.
 func (d *Deployment) checkLease(n *Node, epoch int64, orders []protocol.Order) {
-	if len(orders) > 0 && !d.State.holds(epoch) {
-		d.World.Break("no_lease", "%s gives orders for epoch %d", n.Name, epoch)
+	for _, o := range orders {
+		id, _, _ := protocol.ParseTask(o.Task)
+		if j := d.jobs[id]; o.Verb == protocol.VerbStart && j != nil && j.cancelled != 0 && d.World.now > j.cancelled+startGrace {
+			d.World.Break("started_cancelled", "%s starts %s, cancelled since %.3f s", n.Name, o.Task, j.cancelled.Seconds())
+		}
+	}
+	if d.State.holds(epoch) {
+		return
+	}
+	for _, o := range orders {
+		if id, _, ok := protocol.ParseTask(o.Task); o.Verb != protocol.VerbStop || !ok || !d.State.over(id) {
+			d.World.Break("no_lease", "%s gives the order %v for epoch %d", n.Name, o, epoch)
+		}
 	}
 }
 
+// startGrace is how old what a leader knows of the records may be, a little drift
+// included.
+const startGrace = 6100 * clock.Millisecond
+
 var _ agent.API = (*agentClient)(nil)
 
 // notice lets the rest of gangs see that tasks are gone.
--- a/internal/testkit/world.go
+++ b/internal/testkit/world.go
@@ -160,7 +160,9 @@
 	Cut, Hold bool
 	// Loss is the chance that a request or its answer is lost.
 	Loss float64
-	held []func()
+	// Refused lets the state service refuse what comes over this link, and no other.
+	Refused bool
+	held    []func()
 }
 
 // call carries a request there and its answer back. If either is lost, silent
