Tests: a scene for each meeting of two troubles, attestations, unanswered changes

Each scene brings its meeting about on the simulated clock; the chaos test also makes the state service slow.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -399,3 +399,96 @@
 		t.Fatalf("%d of %d placed after %d plans", placed, spared, d.plans)
 	}
 }
+
+// commits is a state service that keeps transactions until the test answers.
+type commits struct {
+	statestore.Store
+	txns   []protocol.Txn
+	answer func(statestore.Reply[protocol.TxnAnswer])
+}
+
+func (c *commits) Commit(_ statestore.Use, t protocol.Txn, done func(statestore.Reply[protocol.TxnAnswer])) {
+	c.txns, c.answer = append(c.txns, t), done
+}
+
+// A change without an answer may be carried out seconds later. Its places stay taken,
+// and it goes again at the same versions, so that only one of the two can apply.
+func TestUnansweredChangesGoAgain(t *testing.T) {
+	d, box := leader()
+	store := &commits{}
+	d.store = store
+	content := ledger.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeArray, Tasks: 2}, 1)
+	d.adopt(ledger.Key("job-1"), content.Encode(), 5)
+	j := d.jobs["job-1"]
+	d.place(j, ledger.Placement{Task: 0, Try: 1, Machine: "m-1", Shift: 1})
+	d.commit()
+	store.answer(statestore.Reply[protocol.TxnAnswer]{})
+	if len(j.Placed) != 1 || j.reread || j.committed(j.Placed[0]) {
+		t.Fatalf("placed %v, to be read again %v", j.Placed, j.reread)
+	}
+	box.now += retryDelay
+	d.commit()
+	if len(store.txns) != 2 || fmt.Sprint(store.txns[0]) != fmt.Sprint(store.txns[1]) {
+		t.Fatalf("transactions %v", store.txns)
+	}
+	// The first has applied meanwhile: the record tells.
+	store.answer(statestore.Reply[protocol.TxnAnswer]{Status: 409, Value: protocol.TxnAnswer{Failed: []string{ledger.Key("job-1")}}})
+	if !j.reread {
+		t.Fatal("the record isn't read")
+	}
+}
+
+// An answer to a report renews the lease of what it doesn't end. Near the time by which
+// a cancelled task must be gone it is given only if it carries the end of every such
+// task, whether or not the leader's lease holds.
+func TestNoLeaseIsRenewedForCancelledTasks(t *testing.T) {
+	for _, leads := range []bool{true, false} {
+		d, j, m, box := one(t)
+		keep := d.set.Deployment.Workers.KeepAlive()
+		d.noteCancelled(j, box.now)
+		say := func(counter int64, tasks ...protocol.TaskReport) (status int, orders []protocol.Order) {
+			d.term.RenewedAt, d.freshAt = box.now, box.now
+			if d.term.ValidUntil = box.now; leads {
+				d.term.ValidUntil += clock.Second
+			}
+			d.Beat(report(1, counter, tasks...), func(s int, body any) {
+				status = s
+				if a, ok := body.(protocol.BeatAnswer); ok {
+					orders = a.Orders
+				}
+			})
+			return status, orders
+		}
+		m.shift = 1 // its session is known
+		m.sent[taskRef{"job-1", 0, 1}] = &sent{uncertain: true}
+		if status, orders := say(1); status != 200 || len(orders) != 0 {
+			t.Fatalf("leads %v: answered %d with %v while there is time", leads, status, orders)
+		}
+		box.now += keep + 1
+		if status, _ := say(2); status != 503 {
+			t.Fatalf("leads %v: answered %d though a start may still arrive", leads, status)
+		}
+		for counter := int64(3); counter < 5; counter++ { // at once again, too
+			status, orders := say(counter, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskRunning})
+			if status != 200 || len(orders) != 1 || orders[0].Verb != protocol.VerbStop {
+				t.Fatalf("leads %v: answered %d with %v", leads, status, orders)
+			}
+		}
+	}
+}
+
+// The time of a cancellation is the record's, whoever leads, on a process younger than
+// it as well; clocks of day may be off either way.
+func TestCancellationsCountFromTheRecord(t *testing.T) {
+	d, j, _, box := one(t)
+	d.set.Deployment.ClockErrorMs = 250
+	j.Status, j.CancelledAt = protocol.StatusCancelled, int64(box.now-110*clock.Second)
+	d.adopt(ledger.Key("job-1"), j.Encode(), 6)
+	if !j.cancelled || j.cancelledAt != -10*clock.Second-500*clock.Millisecond {
+		t.Fatalf("cancelled %v at %.3f s", j.cancelled, j.cancelledAt.Seconds())
+	}
+	d.begunAt = box.now
+	if at := d.returnAt(j); at >= box.now {
+		t.Fatalf("the machine is returned at %.3f s", at.Seconds())
+	}
+}
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -8,7 +8,10 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"postpoint/internal/actor/actortest"
+	"postpoint/internal/clock"
 	"postpoint/internal/intake"
+	"postpoint/internal/settings"
 )
 
 func FuzzFrames(f *testing.F) {
@@ -80,3 +83,54 @@
 		here.Close()
 	}
 }
+
+// All nodes are asked for what they vouch for, this one included; one that can't be
+// reached is missed.
+func TestEveryoneIsAsked(t *testing.T) {
+	quiet := actortest.Instant{Now: clock.Second, Messages: make(chan func())}
+	go func() {
+		for message := range quiet.Messages {
+			message()
+		}
+	}()
+	other := intake.New(quiet, nil, &settings.Settings{}, nil)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if err := serve(c, other); err != nil {
+				t.Error(err)
+			}
+			c.Close()
+		}
+	}()
+	gone, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone.Close()
+	for _, there := range []bool{true, false} {
+		addrs := []string{l.Addr().String()}
+		if !there {
+			addrs = append(addrs, gone.Addr().String())
+		}
+		box := actortest.Instant{Now: clock.Second, Messages: make(chan func())}
+		own := intake.New(quiet, nil, &settings.Settings{}, nil)
+		var all []intake.Attestation
+		vouched := false
+		NewForwarder(addrs, box).Everyone(own, intake.AttestRequest(clock.Second), func(answers []intake.Answer, ok bool) {
+			all, vouched = intake.Attestations(answers, ok)
+		})
+		(<-box.Messages)()
+		if len(all) != 2 || vouched != there {
+			t.Fatalf("all there %v: vouched %v, %v", there, vouched, all)
+		}
+	}
+}
--- a/internal/testkit/rules_test.go
+++ b/internal/testkit/rules_test.go
@@ -98,7 +98,18 @@
 		d.State.Outage(true)
 		w.After(long, func() { d.State.Outage(false) })
 	}
-	switch w.Rand.IntN(24) {
+	switch w.Rand.IntN(25) {
+	case 24:
+		// The state service answers slowly, and one node in time hardly ever.
+		for _, o := range d.Nodes {
+			o.State.Slow = w.Between(100*clock.Millisecond, 500*clock.Millisecond)
+		}
+		n.State.Slow = 700 * clock.Millisecond
+		w.After(long, func() {
+			for _, o := range d.Nodes {
+				o.State.Slow = 0
+			}
+		})
 	case 15, 16:
 		// The state service refuses one node, users cancel through the others, and
 		// then it is out for everybody, for longer than a cancellation may take.
--- a/internal/testkit/world.go
+++ b/internal/testkit/world.go
@@ -162,7 +162,9 @@
 	Loss float64
 	// Refused lets the state service refuse what comes over this link, and no other.
 	Refused bool
-	held    []func()
+	// Slow is what each way takes longer.
+	Slow clock.Micros
+	held []func()
 }
 
 // call carries a request there and its answer back. If either is lost, silent
@@ -210,9 +212,9 @@
 
 func (l *Link) delay() clock.Micros {
 	if l.w.chance(0.02) {
-		return l.w.Between(50*clock.Millisecond, 400*clock.Millisecond)
+		return l.Slow + l.w.Between(50*clock.Millisecond, 400*clock.Millisecond)
 	}
-	return l.w.Between(200, 3*clock.Millisecond)
+	return l.Slow + l.w.Between(200, 3*clock.Millisecond)
 }
 
 // Heal ends a cut; what was held arrives now, however old.
