--- a/internal/dispatch/allowance.go
+++ b/internal/dispatch/allowance.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 
 	"postpoint/internal/clock"
 	"postpoint/internal/intake"
@@ -111,13 +112,17 @@
 // answer to a report always carries them, since it renews the lease of what it doesn't
 // end.
 func (d *Dispatch) endings(m *machine, beat bool) []protocol.Order {
-	var orders []protocol.Order
 	leads := d.leads()
-	for ref, t := range inRefOrder(m.tasks) {
+	var left []taskRef
+	for ref, t := range m.tasks {
 		j := d.jobs[ref.job]
-		if j == nil || !j.over() || t.Status == protocol.TaskExited || !leads && !j.cancelled {
-			continue
+		if j != nil && t.Status != protocol.TaskExited && (j.cancelled || leads && j.Final()) {
+			left = append(left, ref)
 		}
+	}
+	slices.SortFunc(left, compareRefs)
+	var orders []protocol.Order
+	for _, ref := range left {
 		s := m.sentOf(ref)
 		if beat || s.killAt == 0 || d.now()-s.killAt >= repeatTime {
 			orders = append(orders, protocol.Order{Verb: protocol.VerbStop, Task: protocol.TaskName(ref.job, ref.task), Try: ref.try})
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"iter"
 	"log/slog"
 	"maps"
 	"net/http"
@@ -496,7 +495,8 @@
 			}
 		}
 	}
-	for ref, t := range inRefOrder(m.tasks) {
+	for _, ref := range slices.SortedFunc(maps.Keys(m.tasks), compareRefs) {
+		t := m.tasks[ref]
 		j := d.jobs[ref.job]
 		if d.unreadable[ref.job] || j != nil && j.over() && t.Status != protocol.TaskExited {
 			continue
@@ -576,17 +576,6 @@
 	return s
 }
 
-// inRefOrder goes through a machine's tasks in their order.
-func inRefOrder(tasks map[taskRef]protocol.TaskReport) iter.Seq2[taskRef, protocol.TaskReport] {
-	return func(yield func(taskRef, protocol.TaskReport) bool) {
-		for _, ref := range slices.SortedFunc(maps.Keys(tasks), compareRefs) {
-			if !yield(ref, tasks[ref]) {
-				return
-			}
-		}
-	}
-}
-
 func compareRefs(a, b taskRef) int {
 	return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.task, b.task), cmp.Compare(a.try, b.try))
 }
