--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -492,3 +492,21 @@
 		t.Fatalf("the machine is returned at %.3f s", at.Seconds())
 	}
 }
+
+// A leader that was just elected knows of no cancellation before it has read the
+// records, however long an earlier one might have answered, on a young process too.
+func TestNothingIsKeptBeforeTheRecordsAreRead(t *testing.T) {
+	d, box := leader()
+	for _, now := range []clock.Micros{clock.Second, 100 * clock.Second} {
+		box.now = now
+		d.begunAt, d.freshAt, d.loaded = now, 0, false
+		d.term.RenewedAt, d.term.ValidUntil = now, now+4*clock.Second
+		if d.keeps() || d.leads() {
+			t.Fatalf("at %.0f s it keeps tasks alive without records", now.Seconds())
+		}
+		d.freshAt, d.loaded = now, true
+		if !d.keeps() || !d.leads() {
+			t.Fatalf("at %.0f s it doesn't keep them with records", now.Seconds())
+		}
+	}
+}
