A gang that the machines can't hold, and for which none come, keeps no room

Found by WatchRoom with a gang of five in a zone of three machines: a job of that zone waited for over 90 s beside free machines. Room is still kept while machines are on their way, and where it would do once others end. The plain model draws and judges it too.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -137,6 +137,8 @@
 	stops       map[int]stop
 	returning   bool
 	moved       bool // off a machine that could be spared
+	// wantedAt is when a plan last wanted machines for it, wantedFrom since when all did.
+	wantedFrom, wantedAt clock.Micros
 }
 
 type stop struct {
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -66,9 +66,25 @@
 			d.touch(winner)
 		}
 	}
+	for _, w := range plan.Wants {
+		if j := d.jobs[w.Job.ID]; j != nil {
+			if j.wantedAt == 0 || d.now() > j.wantedAt+wantedGap {
+				j.wantedFrom = d.now()
+			}
+			j.wantedAt = d.now()
+		}
+	}
 	d.rent(append(plan.Wants, d.cheaper(plan, snapshot)...))
 }
 
+const (
+	// unmetTime is after which machines that were wanted and haven't come are taken
+	// not to: longer than any boots, and less than the 90 s that users give other jobs.
+	unmetTime = 60 * clock.Second
+	// wantedGap is longer than it takes from one plan to the next.
+	wantedGap = 10 * clock.Second
+)
+
 // thisTry is the try for tasks placed now: none of them ever had it, since the
 // next try rises above that of each task that has to run again. A gang that is to
 // be completed goes on with the try of its other tasks.
@@ -256,6 +272,7 @@
 		pj.Tier, pj.SlackS = d.aims(j)
 		pj.StartAim = d.startAim(j.Spec.Class) > 0
 		pj.StartS = d.startLeft(j)
+		pj.Unmet = j.wantedAt != 0 && now > j.wantedFrom+unmetTime && now <= j.wantedAt+wantedGap
 		if missing := j.PendingCount() > 0; missing && (!j.Spec.Gang() || len(j.Placed) == 0 || d.completable(j)) {
 			pj.Limit = j.Room(limit)
 			pj.Pending = j.Pending(min(planTasks, pj.Limit))
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -143,6 +143,8 @@
 	// run for it to meet its aim.
 	SlackS float64
 	Avoid  map[string]bool // machines on which it failed
+	// Unmet tells that machines for it have been wanted for long and haven't come.
+	Unmet bool
 }
 
 // Tier tells which of the users' aims for a job can still be met.
@@ -299,9 +301,11 @@
 
 // save keeps what room there is for the first gang in the queue that is to start and
 // lacks some: as places become free one by one, the smaller work behind it would take
-// each of them, and the largest gangs would never find enough at once.
+// each of them, and the largest gangs would never find enough at once. One that the
+// machines there are can't hold, and for which none have come, keeps nothing: it would
+// for ever.
 func (p *planning) save(j *Job, n int) int {
-	if p.saving || !j.Spec.Gang() || j.Tier != StartsInTime {
+	if p.saving || !j.Spec.Gang() || j.Tier != StartsInTime || j.Unmet && !p.holds(j, n) {
 		return 0
 	}
 	p.saving = true
@@ -318,6 +322,27 @@
 	return len(most)
 }
 
+// holds tells that n tasks would fit on the machines there are if these were empty,
+// those that boot included.
+func (p *planning) holds(j *Job, n int) bool {
+	var all []*Machine
+	for i := range p.machines {
+		if m := &p.machines[i]; Allowed(j.Spec, m.Type, m.Zone, m.Spot) && !j.Avoid[m.Name] {
+			all = append(all, m)
+		}
+	}
+	for _, group := range p.groups(j, all) {
+		room := 0
+		for _, m := range group {
+			room += Needs(j.Spec).Count(m.Whole)
+		}
+		if room >= n {
+			return true
+		}
+	}
+	return false
+}
+
 // patient tells that a job loses nothing by waiting for places that have its
 // image.
 func (j *Job) patient() bool {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -288,7 +288,15 @@
 	if len(plan.Wants) != 2 || plan.Wants[0].Tasks != 1 {
 		t.Fatalf("wants %+v", plan.Wants)
 	}
-	gang.Tier = EndsInTime // it can wait
+	gang.Unmet = true // no machine has come for it
+	if plan := Make(Snapshot{Jobs: []Job{gang, small}, Machines: machines(3, 4, 4)}); len(plan.Places) != 3 {
+		t.Fatalf("placed %v though the gang can't fit", plan.Places)
+	}
+	if plan := Make(Snapshot{Jobs: []Job{gang, small}, Machines: append(machines(3, 4, 4),
+		Machine{Name: "m3", Whole: Amounts{Cpus: 4}})}); len(plan.Places) != 0 {
+		t.Fatalf("placed %v though the gang fits once another job ends", plan.Places)
+	}
+	gang.Unmet, gang.Tier = false, EndsInTime // it can wait
 	if plan := Make(Snapshot{Jobs: []Job{gang, small}, Machines: machines(3, 4, 4)}); len(plan.Places) != 3 {
 		t.Fatalf("placed %v", plan.Places)
 	}
@@ -383,6 +391,7 @@
 		j.SlackS = float64(rapid.IntRange(-50, 100).Draw(t, "slack"))
 		j.Within = rapid.IntRange(0, 4).Draw(t, "within") == 0
 		j.Limit = rapid.IntRange(1, 6).Draw(t, "limit")
+		j.Unmet = rapid.Bool().Draw(t, "unmet")
 	}
 	return s
 }
@@ -446,9 +455,27 @@
 	}
 	up := func(m *Machine) bool { return !m.Booting }
 	any := func(*Machine) bool { return true }
+	// holds starts the gang on the same machines, all of them empty, task by task.
+	holds := func(j *Job) bool {
+		for _, zone := range choices(j) {
+			n := 0
+			for _, m := range p.machines {
+				if zone != "" && m.Zone != zone || !Allowed(j.Spec, m.Type, m.Zone, m.Spot) || j.Avoid[m.Name] {
+					continue
+				}
+				for free := m.Whole; Needs(j.Spec).Fits(free); n++ {
+					free = free.Minus(Needs(j.Spec))
+				}
+			}
+			if n >= len(j.Pending) {
+				return true
+			}
+		}
+		return false
+	}
 	saved := false
 	save := func(j *Job) {
-		if saved || j.Tier != StartsInTime {
+		if saved || j.Tier != StartsInTime || j.Unmet && !holds(j) {
 			return
 		}
 		saved = true
--- a/internal/testkit/meetings_test.go
+++ b/internal/testkit/meetings_test.go
@@ -412,3 +412,29 @@
 		}
 	}
 }
+
+// A gang that the machines there are, and all that the cloud still has, can't hold
+// keeps no room from smaller work: it would for ever.
+func TestGangThatNeverFitsHoldsUpNobody(t *testing.T) {
+	w := NewWorld(91)
+	d := NewDeployment(w, testSettings(), testTypes(), 0)
+	d.Cloud.Reliable = true
+	d.Cloud.Capacity = map[fleet.Kind]int{{Type: "small", Zone: "a"}: 3, {Type: "small", Zone: "b"}: 3}
+	gang := array("job-000001", "open", 5, 6, 20)
+	gang.Shape, gang.Zone = protocol.ShapeGang, "a"
+	d.Submit(gang, 20*clock.Second, false)
+	for i := range 8 {
+		w.After(clock.Micros(100+i*20)*clock.Second, func() {
+			s := array(fmt.Sprintf("job-1%05d", i), "open", 4, 4, 15)
+			s.Zone = gang.Zone
+			d.Submit(s, 15*clock.Second, false)
+		})
+	}
+	w.Run(150 * clock.Second)
+	d.WatchRoom()
+	w.Run(500 * clock.Second)
+	mustKeepRules(t, w)
+	if left := d.Unfinished(); len(left) != 1 {
+		t.Fatalf("left: %v", left)
+	}
+}
