--- a/internal/testkit/meetings_test.go
+++ b/internal/testkit/meetings_test.go
@@ -46,6 +46,16 @@
 	}
 }
 
+// runs tells that a task of the job is on the machine.
+func (m *Worker) runs(j *Job) bool {
+	for _, t := range m.tasks {
+		if t.job == j.spec.ID && t.onIt {
+			return true
+		}
+	}
+	return false
+}
+
 // lost counts the machines that lost a session and with it their tasks.
 func lost(d *Deployment) int {
 	n := 0
@@ -112,6 +122,28 @@
 	}
 }
 
+// In the gap a machine reaches no controller, and direct commands reach it only once the
+// leader's lease is over: they end what is cancelled there all the same.
+func TestRefusedLeaderEndsByCommand(t *testing.T) {
+	w, d, j, _ := twoJobs(t, 37, 300*clock.Second)
+	d.Nodes[leading(t, d)].State.Refused = true
+	mute := sortedKeys(j.places[0])[0]
+	mute.Mute, mute.Commands.Cut = true, true
+	d.Cancel(j)
+	for j.told == "" {
+		w.Run(w.Now() + 10*clock.Millisecond)
+	}
+	d.State.Outage(true)
+	w.Run(w.Now() + 4*clock.Second)
+	mute.Commands.Heal()
+	w.Run(w.Now() + 5*clock.Second)
+	if mute.runs(j) || mute.shift != 1 {
+		t.Fatalf("what is cancelled runs %v, session %d", mute.runs(j), mute.shift)
+	}
+	w.Run(w.Now() + 40*clock.Second)
+	mustKeepRules(t, w)
+}
+
 // A leader that was elected and can't read the records knows of no cancellation: an
 // outage that begins with its election lets all tasks go in time.
 func TestLeaderWithoutRecordsKeepsNothing(t *testing.T) {
