--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -491,6 +491,29 @@
 	if at := d.returnAt(j); at >= box.now {
 		t.Fatalf("the machine is returned at %.3f s", at.Seconds())
 	}
+	// A new leader lets machines speak first, as long as there is time.
+	j.cancelledAt = box.now - 16*clock.Second // lease_s + 4 s
+	if at := d.returnAt(j); at != box.now+heedTime {
+		t.Fatalf("the machine is returned %.3f s after the election", (at - box.now).Seconds())
+	}
+	j.cancelledAt -= 4 * clock.Second
+	if at := d.returnAt(j); at != j.cancelledAt+23*clock.Second { // cancel_s - 7 s
+		t.Fatalf("the machine is returned %.3f s after the cancellation", (at - j.cancelledAt).Seconds())
+	}
+}
+
+// A cancellation that is followed while a change of the same record is under way is
+// final, whatever becomes of the change: the job's tasks needn't wait for its answer.
+func TestCancellationsDontWaitForChanges(t *testing.T) {
+	d, j, m, box := one(t)
+	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskRunning}))
+	j.flight = true
+	cancelled := *j.Job
+	cancelled.Status, cancelled.CancelledAt = protocol.StatusCancelled, int64(box.now)
+	d.adopt(ledger.Key("job-1"), cancelled.Encode(), 6)
+	if orders := d.orders(m, true); len(orders) != 1 || orders[0].Verb != protocol.VerbStop {
+		t.Fatalf("orders %v", orders)
+	}
 }
 
 // A leader that was just elected knows of no cancellation before it has read the
