Reports that come while a new leader reads its records wait for a second at the most

Cause: since nobody is answered before the records are read, each report of that time was sent round the other nodes and came back by a new connection.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -65,6 +65,7 @@
 	pauseUntil clock.Micros // after a refusal of the state service
 	renting    fleetState
 	views      []planner.Machine // of the last snapshot
+	early      early
 
 	// Kept across terms.
 	catalogue []protocol.MachineType
@@ -272,6 +273,7 @@
 		case t.Epoch == before:
 		case t.Epoch == 0:
 			d.jobs, d.machines, d.roster, d.loaded = nil, nil, nil, false
+			d.endHold()
 		default:
 			d.begin()
 		}
@@ -313,6 +315,8 @@
 	slog.Info("taking over", "epoch", d.term.Epoch)
 	d.jobs, d.machines, d.roster, d.gone = map[string]*job{}, map[string]*machine{}, nil, map[string]bool{}
 	d.unreadable, d.retired = map[string]bool{}, map[string]int64{}
+	d.endHold()
+	d.early.waited = false
 	d.loaded, d.committing, d.waking, d.shared = false, false, false, false
 	d.begunAt, d.freshAt, d.attestedAt, d.attesting, d.plans = d.now(), 0, 0, false, 0
 	d.renting = newFleetState(d.set.Deployment.Cloud.Rps)
@@ -344,6 +348,7 @@
 		d.loaded = true
 		d.freshAt = began
 		if first {
+			d.endHold()
 			slog.Info("records read", "epoch", epoch, "open_jobs", len(d.jobs), "took_ms", (d.now()-began)/clock.Millisecond)
 		}
 		d.wake()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -533,3 +533,46 @@
 		}
 	}
 }
+
+// lists is a state service that has no records, and keeps the answer until the test asks.
+type lists struct {
+	statestore.Store
+	answer func()
+}
+
+func (l *lists) List(_, _ string, done func(statestore.Reply[protocol.ItemList])) {
+	l.answer = func() { done(statestore.Reply[protocol.ItemList]{Status: 200}) }
+}
+
+func (l *lists) Follow(string, int64, clock.Micros, func(statestore.Reply[protocol.FollowAnswer])) {}
+
+// Reports that come while a new leader reads its records are answered once it has, or
+// refused when that takes long: sent round the other nodes at once, all workers would
+// be back a second later with new connections.
+func TestEarlyReportsWaitForRecords(t *testing.T) {
+	for _, read := range []bool{true, false} {
+		d, box := leader()
+		store := &lists{}
+		d.store, d.loaded, d.freshAt, d.begunAt = store, false, 0, box.now
+		d.load(7, "", 0, box.now)
+		status := 0
+		d.Beat(report(1, 1), func(s int, _ any) { status = s })
+		if status != 0 {
+			t.Fatalf("answered %d before the records are read", status)
+		}
+		want := 421
+		if read {
+			store.answer()
+			want = 200
+		} else {
+			d.endHold() // after earlyTime
+		}
+		if status != want {
+			t.Fatalf("records read %v: answered %d", read, status)
+		}
+		d.Beat(report(1, 2), func(s int, _ any) { status = -s })
+		if status != -want {
+			t.Fatalf("records read %v: the next is answered %d", read, -status)
+		}
+	}
+}
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -15,58 +15,93 @@
 // Beat handles a worker's report. The reply is called from the actor.
 func (d *Dispatch) Beat(r protocol.Report, reply func(status int, body any)) {
 	arrived := d.now()
-	d.mailbox.Post(func() {
-		// After a stand of the process, or behind more than the processor can do, a
-		// report is no news of now and its worker is about to give up: a refusal
-		// costs next to nothing, lets those be taken whose answers will be in time,
-		// and isn't taken for an answer that the worker didn't heed.
-		if d.now() > arrived+beatPatience {
-			reply(http.StatusServiceUnavailable, protocol.Redirect{})
-			return
-		}
-		if len(d.addresses) > 4096 {
-			clear(d.addresses)
-		}
-		d.addresses[r.Machine] = r.Address
-		if !d.leads() && !d.keeps() || d.gone[r.Machine] {
-			hint := d.leader
-			if hint == d.set.Node {
-				hint = ""
-			}
-			reply(http.StatusMisdirectedRequest, protocol.Redirect{Node: hint})
-			return
-		}
-		m := d.machine(r.Machine)
-		d.observe(m, r)
-		// An old report may come late. One that is only older than what a
-		// direct command's answer told is the worker's current one.
-		newest := r.Shift > m.beatShift || r.Shift == m.beatShift && r.Counter > m.beatCounter
-		if !newest {
-			d.challenge(m)
-		}
-		if !newest || r.Shift != m.shift || m.expired || r.Epoch > d.term.Epoch {
-			reply(http.StatusMisdirectedRequest, protocol.Redirect{})
-			return
-		}
-		if !d.mayRenew(m) {
-			reply(http.StatusServiceUnavailable, protocol.Redirect{})
-			return
-		}
-		m.beatShift, m.beatCounter = r.Shift, r.Counter
-		for _, s := range m.sent {
-			// The worker has one report in flight: the answer to the last one
-			// was carried out or dropped by now.
-			s.inBeat = false
-		}
-		answer := protocol.BeatAnswer{Epoch: d.term.Epoch, Orders: []protocol.Order{}}
-		if d.leads() {
-			answer.Orders = d.orders(m, true)
-		} else {
-			answer.Orders = append(answer.Orders, d.endings(m, true)...)
+	d.mailbox.Post(func() { d.beat(r, arrived, reply) })
+}
+
+// early holds the reports that come while a new leader reads its records: it knows
+// what it may answer a moment later, and a refusal would send each worker round the
+// other nodes and back.
+type early struct {
+	beats []func()
+	// waited tells that they aren't held any longer in this term.
+	waited bool
+}
+
+// earlyTime is less than workers wait by far.
+const earlyTime = clock.Second
+
+// hold keeps a report until the records are read, but not for long.
+func (d *Dispatch) hold(beat func()) {
+	if len(d.early.beats) == 0 {
+		d.inTerm(earlyTime, d.endHold)
+	}
+	d.early.beats = append(d.early.beats, beat)
+}
+
+// endHold lets the reports that were held be answered as things stand.
+func (d *Dispatch) endHold() {
+	beats := d.early.beats
+	d.early = early{waited: true}
+	for _, beat := range beats {
+		beat()
+	}
+}
+
+func (d *Dispatch) beat(r protocol.Report, arrived clock.Micros, reply func(status int, body any)) {
+	if d.term.Epoch != 0 && !d.loaded && !d.early.waited {
+		d.hold(func() { d.beat(r, arrived, reply) })
+		return
+	}
+	// After a stand of the process, or behind more than the processor can do, a
+	// report is no news of now and its worker is about to give up: a refusal
+	// costs next to nothing, lets those be taken whose answers will be in time,
+	// and isn't taken for an answer that the worker didn't heed.
+	if d.now() > arrived+beatPatience {
+		reply(http.StatusServiceUnavailable, protocol.Redirect{})
+		return
+	}
+	if len(d.addresses) > 4096 {
+		clear(d.addresses)
+	}
+	d.addresses[r.Machine] = r.Address
+	if !d.leads() && !d.keeps() || d.gone[r.Machine] {
+		hint := d.leader
+		if hint == d.set.Node {
+			hint = ""
 		}
-		m.answeredAt = d.now()
-		reply(http.StatusOK, answer)
-	})
+		reply(http.StatusMisdirectedRequest, protocol.Redirect{Node: hint})
+		return
+	}
+	m := d.machine(r.Machine)
+	d.observe(m, r)
+	// An old report may come late. One that is only older than what a
+	// direct command's answer told is the worker's current one.
+	newest := r.Shift > m.beatShift || r.Shift == m.beatShift && r.Counter > m.beatCounter
+	if !newest {
+		d.challenge(m)
+	}
+	if !newest || r.Shift != m.shift || m.expired || r.Epoch > d.term.Epoch {
+		reply(http.StatusMisdirectedRequest, protocol.Redirect{})
+		return
+	}
+	if !d.mayRenew(m) {
+		reply(http.StatusServiceUnavailable, protocol.Redirect{})
+		return
+	}
+	m.beatShift, m.beatCounter = r.Shift, r.Counter
+	for _, s := range m.sent {
+		// The worker has one report in flight: the answer to the last one
+		// was carried out or dropped by now.
+		s.inBeat = false
+	}
+	answer := protocol.BeatAnswer{Epoch: d.term.Epoch, Orders: []protocol.Order{}}
+	if d.leads() {
+		answer.Orders = d.orders(m, true)
+	} else {
+		answer.Orders = append(answer.Orders, d.endings(m, true)...)
+	}
+	m.answeredAt = d.now()
+	reply(http.StatusOK, answer)
 }
 
 // observe takes a report if it is newer than what is known.
