--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -283,7 +283,7 @@
 // sendReleases returns what is marked. Once it is answered, the machines and
 // all on them are gone: proof for whatever was placed there.
 func (d *Dispatch) sendReleases() {
-	if d.renting.releasing {
+	if d.renting.releasing || !d.leads() && !d.keeps() {
 		return
 	}
 	// Those that hold what is cancelled can't wait for others, nor for the cloud to
@@ -291,7 +291,8 @@
 	var names []string
 	for _, overdue := range []bool{true, false} {
 		for _, m := range d.roster {
-			if m.releasing && m.overdue == overdue && len(names) < cloud.ReleaseSize && (overdue || d.leads() && d.now() >= d.renting.downUntil) {
+			due := overdue || d.leads() && d.now() >= d.renting.downUntil
+			if due && m.releasing && m.overdue == overdue && len(names) < cloud.ReleaseSize {
 				names = append(names, m.name)
 			}
 		}
