--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -579,3 +579,21 @@
 		Make(s)
 	}
 }
+
+// More work than room: while what was stopped for an urgent gang leaves, lower work
+// doesn't take the room that is free already.
+func TestRoomBeingMadeIsHeld(t *testing.T) {
+	urgent := array("job-u", 1, 2, 4)
+	urgent.Spec.Shape, urgent.Tier = protocol.ShapeGang, EndsInTime
+	leaving := array("job-l", 3, 1, 4, Running{Task: 0, Machine: "m0", Stopping: true})
+	lower := array("job-w", 3, 1, 4)
+	plan := Make(Snapshot{Jobs: []Job{urgent, leaving, lower}, Machines: machines(1, 8, 4)})
+	if len(plan.Places) != 0 || len(plan.Stops) != 0 {
+		t.Fatalf("placed %v, stopped %v", plan.Places, plan.Stops)
+	}
+	// Nothing leaves for it any more, and what is free doesn't hold it.
+	plan = Make(Snapshot{Jobs: []Job{urgent, lower}, Machines: machines(1, 8, 4)})
+	if len(plan.Places) != 1 || plan.Places[0].Job != "job-w" {
+		t.Fatalf("placed %v", plan.Places)
+	}
+}
