Tidy after reading the whole change once more; no decision changes

- What leaves without the lease was decided in three places (answers, commands, returns): orders() gives only the ends of what is cancelled then, and actsUntil says until when.
- The hold of early reports is one flag instead of a condition on three fields.
- Term.ElectedAt had lost its last reader; lively and renewed share their formula; returns look at lease and pause once; an attestation is bounded before it is made.
- The planner's own copies are called scratch, not rented.
- Tests: one mailbox in actortest for four, one way to ask a peer, one loop that repeats, array() for the jobs that were spelt out.
Assertions are as they were.

--- a/internal/dispatch/allowance.go
+++ b/internal/dispatch/allowance.go
@@ -198,9 +198,9 @@
 	d.sendReleases()
 }
 
-// returnUntil is until when returns may leave: without the lease only those for
-// whose sake cancelled tasks end in time.
-func (d *Dispatch) returnUntil() clock.Micros {
+// actsUntil is until when commands and returns may leave: without the lease only those
+// by which cancelled tasks end.
+func (d *Dispatch) actsUntil() clock.Micros {
 	if d.leads() {
 		return d.term.ValidUntil
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -65,7 +65,9 @@
 	pauseUntil clock.Micros // after a refusal of the state service
 	renting    fleetState
 	views      []planner.Machine // of the last snapshot
-	early      early
+	// holding tells that reports are held, until the records are read: see hold.
+	holding bool
+	held    []func()
 
 	// Kept across terms.
 	catalogue []protocol.MachineType
@@ -316,7 +318,7 @@
 	d.jobs, d.machines, d.roster, d.gone = map[string]*job{}, map[string]*machine{}, nil, map[string]bool{}
 	d.unreadable, d.retired = map[string]bool{}, map[string]int64{}
 	d.endHold()
-	d.early.waited = false
+	d.holding = true
 	d.loaded, d.committing, d.waking, d.shared = false, false, false, false
 	d.begunAt, d.freshAt, d.attestedAt, d.attesting, d.plans = d.now(), 0, 0, false, 0
 	d.renting = newFleetState(d.set.Deployment.Cloud.Rps)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"postpoint/internal/actor/actortest"
 	"postpoint/internal/clock"
 	"postpoint/internal/ledger"
 	"postpoint/internal/protocol"
@@ -11,29 +12,21 @@
 	"postpoint/internal/statestore"
 )
 
-// still is a mailbox whose clock the test sets and whose messages wait for ever.
-type still struct{ now clock.Micros }
-
-func (s *still) Steady() clock.Micros       { return s.now }
-func (s *still) OfDay() clock.Micros        { return s.now }
-func (s *still) Post(message func())        { message() }
-func (s *still) After(clock.Micros, func()) {}
-
 // leader is one that has read its records, in epoch 7.
-func leader() (*Dispatch, *still) {
-	box := &still{now: 100 * clock.Second}
+func leader() (*Dispatch, *actortest.Still) {
+	box := &actortest.Still{Now: 100 * clock.Second}
 	set := &settings.Settings{}
 	set.Deployment.Workers = settings.Workers{ReportS: 2, LeaseS: 12, GangPeerS: 4, CancelS: 30}
 	d := New(box, nil, nil, nil, set, func(int64) {}, func() {}, nil, nil)
-	d.term.Epoch, d.term.ElectedAt, d.term.RenewedAt, d.term.ValidUntil = 7, box.now, box.now, box.now+4*clock.Second
+	d.term.Epoch, d.begunAt, d.term.RenewedAt, d.term.ValidUntil = 7, box.Now, box.Now, box.Now+4*clock.Second
 	d.jobs, d.machines, d.gone, d.unreadable = map[string]*job{}, map[string]*machine{}, map[string]bool{}, map[string]bool{}
 	d.retired = map[string]int64{}
-	d.loaded, d.freshAt, d.waking = true, box.now, true
+	d.loaded, d.freshAt, d.waking = true, box.Now, true
 	return d, box
 }
 
 // one is a leader that has committed one task to machine m-1 in its shift 1.
-func one(t *testing.T) (*Dispatch, *job, *machine, *still) {
+func one(t *testing.T) (*Dispatch, *job, *machine, *actortest.Still) {
 	t.Helper()
 	d, box := leader()
 	content := ledger.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeArray, Tasks: 1}, 1)
@@ -92,7 +85,7 @@
 func TestExpiredSessionsDontComeBack(t *testing.T) {
 	d, j, m, box := one(t)
 	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskRunning}))
-	box.now += 60 * clock.Second
+	box.Now += 60 * clock.Second
 	d.expire()
 	if !m.expired || len(j.Placed) != 0 {
 		t.Fatalf("expired %v, placed %v", m.expired, j.Placed)
@@ -111,7 +104,7 @@
 // for the first time isn't expired, though no beat of it was ever answered.
 func TestASessionBeginsWithALease(t *testing.T) {
 	d, j, m, box := one(t)
-	box.now += 60 * clock.Second
+	box.Now += 60 * clock.Second
 	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskRunning}))
 	d.expire()
 	if m.expired || len(j.Placed) != 1 {
@@ -126,16 +119,16 @@
 	if !d.leads() {
 		t.Fatal("it doesn't lead")
 	}
-	box.now += staleAfter + clock.Second
-	d.term.RenewedAt, d.term.ValidUntil = box.now, box.now+4*clock.Second
+	box.Now += staleAfter + clock.Second
+	d.term.RenewedAt, d.term.ValidUntil = box.Now, box.Now+4*clock.Second
 	if d.leads() {
 		t.Fatal("it leads with stale records")
 	}
 	if !d.keeps() {
 		t.Fatal("it lets the workers go too soon")
 	}
-	box.now += d.set.Deployment.Workers.KeepAlive()
-	d.term.RenewedAt = box.now
+	box.Now += d.set.Deployment.Workers.KeepAlive()
+	d.term.RenewedAt = box.Now
 	if d.keeps() {
 		t.Fatal("it keeps tasks alive that may be cancelled")
 	}
@@ -227,7 +220,7 @@
 func TestUnheedingMachinesGetNoWork(t *testing.T) {
 	d, _, m, box := one(t)
 	d.types["t"] = protocol.MachineType{Name: "t", Cpus: 8}
-	usable := func() bool { _, ok := d.planned(m, box.now); return ok }
+	usable := func() bool { _, ok := d.planned(m, box.Now); return ok }
 	say := func(shift, counter int64) {
 		r := report(shift, counter)
 		r.Type = "t"
@@ -237,23 +230,23 @@
 	if !usable() {
 		t.Fatal("it can't be used to begin with")
 	}
-	box.now += 11 * clock.Second
-	d.term.ValidUntil, d.freshAt = box.now+4*clock.Second, box.now
+	box.Now += 11 * clock.Second
+	d.term.ValidUntil, d.freshAt = box.Now+4*clock.Second, box.Now
 	say(1, 2)
-	box.now += 2 * clock.Second
+	box.Now += 2 * clock.Second
 	say(2, 3) // its lease counts from a report that was answered before
 	if usable() || m.releasing {
 		t.Fatalf("usable %v, releasing %v after one lost session", usable(), m.releasing)
 	}
-	box.now += 14 * clock.Second
-	d.term.RenewedAt, d.term.ValidUntil, d.freshAt = box.now, box.now+4*clock.Second, box.now
+	box.Now += 14 * clock.Second
+	d.term.RenewedAt, d.term.ValidUntil, d.freshAt = box.Now, box.Now+4*clock.Second, box.Now
 	say(2, 4)
 	if !usable() {
 		t.Fatal("it isn't used again though its session lasts")
 	}
-	m.answeredAt = box.now
+	m.answeredAt = box.Now
 	say(3, 5)
-	m.answeredAt = box.now
+	m.answeredAt = box.Now
 	say(4, 6)
 	if !m.releasing {
 		t.Fatal("it is kept after two lost sessions")
@@ -273,7 +266,7 @@
 	if len(j.Placed) != 1 {
 		t.Fatal("the place was freed")
 	}
-	if _, ok := d.planned(m, box.now); ok {
+	if _, ok := d.planned(m, box.Now); ok {
 		t.Fatal("the machine is used")
 	}
 }
@@ -299,7 +292,7 @@
 // than a machine boots keeps its order.
 func TestTheNextStartAimCounts(t *testing.T) {
 	d, j, _, box := one(t)
-	box.now = 1000 * clock.Second
+	box.Now = 1000 * clock.Second
 	d.catalogue = []protocol.MachineType{{Name: "t", BootS: 30}}
 	d.set.Deployment.Objectives = []settings.Objective{{Kind: "wait", Class: "late", WithinS: 120},
 		{Kind: "wait", Class: "late", WithinS: 300}, {Kind: "wait", Class: "soon", WithinS: 5}}
@@ -309,7 +302,7 @@
 		age, gb, left float64
 	}{{"late", 50, 0, 70}, {"late", 130, 0, 110}, {"late", 250, 0, -10}, {"none", 100, 0, 140}, {"soon", 1, 0, 239},
 		{"none", 100, 20, 60}} { // its image takes 80 s
-		j.Spec.Class, j.Spec.ImageGB, j.SubmittedAt = c.class, c.gb, int64(box.now-clock.FromSeconds(c.age))
+		j.Spec.Class, j.Spec.ImageGB, j.SubmittedAt = c.class, c.gb, int64(box.Now-clock.FromSeconds(c.age))
 		if left := d.startLeft(j); left != c.left {
 			t.Errorf("%s at %v s has %v s left, not %v", c.class, c.age, left, c.left)
 		}
@@ -318,7 +311,7 @@
 
 // queued is a mailbox whose messages wait until the test lets them through.
 type queued struct {
-	still
+	actortest.Still
 	waiting []func()
 }
 
@@ -328,13 +321,13 @@
 // looked at: it says nothing of now, and it wasn't answered.
 func TestReportsThatWaitedTooLongAreRefused(t *testing.T) {
 	d, box := leader()
-	q := &queued{still: *box}
+	q := &queued{Still: *box}
 	d.mailbox = q
 	beat := func(counter int64, wait clock.Micros) int {
 		got := 0
 		d.Beat(report(1, counter), func(status int, _ any) { got = status })
-		q.now += wait
-		d.freshAt, d.term.ValidUntil = q.now, q.now+4*clock.Second
+		q.Now += wait
+		d.freshAt, d.term.ValidUntil = q.Now, q.Now+4*clock.Second
 		for _, message := range q.waiting {
 			message()
 		}
@@ -362,9 +355,9 @@
 		out := &calls{}
 		d.agent, m.addr = out, "m-1:1"
 		d.observe(m, report(1, 1))
-		d.tickedAt = box.now
-		box.now += tickTime + late
-		d.freshAt, d.term.ValidUntil = box.now, box.now+4*clock.Second
+		d.tickedAt = box.Now
+		box.Now += tickTime + late
+		d.freshAt, d.term.ValidUntil = box.Now, box.Now+4*clock.Second
 		d.term.Epoch = 0 // the tick only looks at the clock
 		d.tick()
 		d.term.Epoch = 7
@@ -388,12 +381,12 @@
 	const spared = 300
 	for i := range spared {
 		m := d.machine(fmt.Sprintf("m-%03d", i))
-		m.typ, m.zone, m.seen, m.epoch, m.heardAt, m.answeredAt, m.cordoned = "t", "a", true, 7, box.now, box.now, true
+		m.typ, m.zone, m.seen, m.epoch, m.heardAt, m.answeredAt, m.cordoned = "t", "a", true, 7, box.Now, box.Now, true
 	}
 	content := ledger.New(protocol.JobSpec{ID: "job-1", Team: "x", Shape: protocol.ShapeArray, Tasks: spared, Cpus: 8, MemoryGB: 1, EstimateS: 60}, 1)
 	d.set.Deployment.State.ValueKb = 64
 	d.adopt(ledger.Key("job-1"), content.Encode(), 5)
-	d.renting.downUntil = box.now + clock.Second
+	d.renting.downUntil = box.Now + clock.Second
 	d.schedule()
 	if placed := len(d.jobs["job-1"].Placed); placed != spared || d.plans > 12 {
 		t.Fatalf("%d of %d placed after %d plans", placed, spared, d.plans)
@@ -426,7 +419,7 @@
 	if len(j.Placed) != 1 || j.reread || j.committed(j.Placed[0]) {
 		t.Fatalf("placed %v, to be read again %v", j.Placed, j.reread)
 	}
-	box.now += retryDelay
+	box.Now += retryDelay
 	d.commit()
 	if len(store.txns) != 2 || fmt.Sprint(store.txns[0]) != fmt.Sprint(store.txns[1]) {
 		t.Fatalf("transactions %v", store.txns)
@@ -445,10 +438,10 @@
 	for _, leads := range []bool{true, false} {
 		d, j, m, box := one(t)
 		keep := d.set.Deployment.Workers.KeepAlive()
-		d.noteCancelled(j, box.now)
+		d.noteCancelled(j, box.Now)
 		say := func(counter int64, tasks ...protocol.TaskReport) (status int, orders []protocol.Order) {
-			d.term.RenewedAt, d.freshAt = box.now, box.now
-			if d.term.ValidUntil = box.now; leads {
+			d.term.RenewedAt, d.freshAt = box.Now, box.Now
+			if d.term.ValidUntil = box.Now; leads {
 				d.term.ValidUntil += clock.Second
 			}
 			d.Beat(report(1, counter, tasks...), func(s int, body any) {
@@ -464,7 +457,7 @@
 		if status, orders := say(1); status != 200 || len(orders) != 0 {
 			t.Fatalf("leads %v: answered %d with %v while there is time", leads, status, orders)
 		}
-		box.now += keep + 1
+		box.Now += keep + 1
 		if status, _ := say(2); status != 503 {
 			t.Fatalf("leads %v: answered %d though a start may still arrive", leads, status)
 		}
@@ -482,19 +475,19 @@
 func TestCancellationsCountFromTheRecord(t *testing.T) {
 	d, j, _, box := one(t)
 	d.set.Deployment.ClockErrorMs = 250
-	j.Status, j.CancelledAt = protocol.StatusCancelled, int64(box.now-110*clock.Second)
+	j.Status, j.CancelledAt = protocol.StatusCancelled, int64(box.Now-110*clock.Second)
 	d.adopt(ledger.Key("job-1"), j.Encode(), 6)
 	if !j.cancelled || j.cancelledAt != -10*clock.Second-500*clock.Millisecond {
 		t.Fatalf("cancelled %v at %.3f s", j.cancelled, j.cancelledAt.Seconds())
 	}
-	d.begunAt = box.now
-	if at := d.returnAt(j); at >= box.now {
+	d.begunAt = box.Now
+	if at := d.returnAt(j); at >= box.Now {
 		t.Fatalf("the machine is returned at %.3f s", at.Seconds())
 	}
 	// A new leader lets machines speak first, as long as there is time.
-	j.cancelledAt = box.now - 16*clock.Second // lease_s + 4 s
-	if at := d.returnAt(j); at != box.now+heedTime {
-		t.Fatalf("the machine is returned %.3f s after the election", (at - box.now).Seconds())
+	j.cancelledAt = box.Now - 16*clock.Second // lease_s + 4 s
+	if at := d.returnAt(j); at != box.Now+heedTime {
+		t.Fatalf("the machine is returned %.3f s after the election", (at - box.Now).Seconds())
 	}
 	j.cancelledAt -= 4 * clock.Second
 	if at := d.returnAt(j); at != j.cancelledAt+23*clock.Second { // cancel_s - 7 s
@@ -509,7 +502,7 @@
 	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskRunning}))
 	j.flight = true
 	cancelled := *j.Job
-	cancelled.Status, cancelled.CancelledAt = protocol.StatusCancelled, int64(box.now)
+	cancelled.Status, cancelled.CancelledAt = protocol.StatusCancelled, int64(box.Now)
 	d.adopt(ledger.Key("job-1"), cancelled.Encode(), 6)
 	if orders := d.orders(m, true); len(orders) != 1 || orders[0].Verb != protocol.VerbStop {
 		t.Fatalf("orders %v", orders)
@@ -521,7 +514,7 @@
 func TestNothingIsKeptBeforeTheRecordsAreRead(t *testing.T) {
 	d, box := leader()
 	for _, now := range []clock.Micros{clock.Second, 100 * clock.Second} {
-		box.now = now
+		box.Now = now
 		d.begunAt, d.freshAt, d.loaded = now, 0, false
 		d.term.RenewedAt, d.term.ValidUntil = now, now+4*clock.Second
 		if d.keeps() || d.leads() {
@@ -553,8 +546,8 @@
 	for _, read := range []bool{true, false} {
 		d, box := leader()
 		store := &lists{}
-		d.store, d.loaded, d.freshAt, d.begunAt = store, false, 0, box.now
-		d.load(7, "", 0, box.now)
+		d.store, d.loaded, d.freshAt, d.holding = store, false, 0, true
+		d.load(7, "", 0, box.Now)
 		status := 0
 		d.Beat(report(1, 1), func(s int, _ any) { status = s })
 		if status != 0 {
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -283,26 +283,30 @@
 // sendReleases returns what is marked. Once it is answered, the machines and
 // all on them are gone: proof for whatever was placed there.
 func (d *Dispatch) sendReleases() {
-	if d.renting.releasing || !d.leads() && !d.keeps() {
+	leads := d.leads()
+	if d.renting.releasing || !leads && !d.keeps() {
 		return
 	}
-	// Those that hold what is cancelled can't wait for others, nor for the cloud to
-	// recover from a refusal.
 	var names []string
-	for _, overdue := range []bool{true, false} {
+	add := func(overdue bool) {
 		for _, m := range d.roster {
-			due := overdue || d.leads() && d.now() >= d.renting.downUntil
-			if due && m.releasing && m.overdue == overdue && len(names) < cloud.ReleaseSize {
+			if m.releasing && m.overdue == overdue && len(names) < cloud.ReleaseSize {
 				names = append(names, m.name)
 			}
 		}
 	}
+	// Those that hold what is cancelled can't wait for others, nor for the cloud to
+	// recover from a refusal.
+	add(true)
+	if leads && d.now() >= d.renting.downUntil {
+		add(false)
+	}
 	if len(names) == 0 {
 		return
 	}
 	d.renting.releasing = true
 	epoch := d.term.Epoch
-	d.cloud.Release(names, d.returnUntil(), func(status int) {
+	d.cloud.Release(names, d.actsUntil(), func(status int) {
 		if d.term.Epoch != epoch {
 			return
 		}
@@ -410,10 +414,16 @@
 // renewed tells that the machine's lease is being renewed: one that only answers
 // direct commands loses whatever it is given when its lease ends.
 func (d *Dispatch) renewed(m *machine) bool {
-	return m.answeredAt != 0 && d.now() < m.answeredAt+2*d.set.Deployment.Workers.Report()+2*clock.Second
+	return m.answeredAt != 0 && d.lately(m.answeredAt)
 }
 
 // lively tells that a machine was heard of about as often as it should be.
 func (d *Dispatch) lively(m *machine) bool {
-	return m.seen && d.now() < m.heardAt+2*d.set.Deployment.Workers.Report()+2*clock.Second
+	return m.seen && d.lately(m.heardAt)
+}
+
+// lately tells that something that every report repeats was no longer ago than two of
+// them may take.
+func (d *Dispatch) lately(at clock.Micros) bool {
+	return d.now() < at+2*d.set.Deployment.Workers.Report()+2*clock.Second
 }
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -18,37 +18,30 @@
 	d.mailbox.Post(func() { d.beat(r, arrived, reply) })
 }
 
-// early holds the reports that come while a new leader reads its records: it knows
-// what it may answer a moment later, and a refusal would send each worker round the
-// other nodes and back.
-type early struct {
-	beats []func()
-	// waited tells that they aren't held any longer in this term.
-	waited bool
-}
-
 // earlyTime is less than workers wait by far.
 const earlyTime = clock.Second
 
-// hold keeps a report until the records are read, but not for long.
+// hold keeps a report until the records are read, but not for long: a new leader knows
+// what it may answer a moment later, and a refusal would send each worker round the
+// other nodes and back.
 func (d *Dispatch) hold(beat func()) {
-	if len(d.early.beats) == 0 {
+	if len(d.held) == 0 {
 		d.inTerm(earlyTime, d.endHold)
 	}
-	d.early.beats = append(d.early.beats, beat)
+	d.held = append(d.held, beat)
 }
 
 // endHold lets the reports that were held be answered as things stand.
 func (d *Dispatch) endHold() {
-	beats := d.early.beats
-	d.early = early{waited: true}
+	beats := d.held
+	d.holding, d.held = false, nil
 	for _, beat := range beats {
 		beat()
 	}
 }
 
 func (d *Dispatch) beat(r protocol.Report, arrived clock.Micros, reply func(status int, body any)) {
-	if d.term.Epoch != 0 && !d.loaded && !d.early.waited {
+	if d.holding {
 		d.hold(func() { d.beat(r, arrived, reply) })
 		return
 	}
@@ -94,12 +87,7 @@
 		// was carried out or dropped by now.
 		s.inBeat = false
 	}
-	answer := protocol.BeatAnswer{Epoch: d.term.Epoch, Orders: []protocol.Order{}}
-	if d.leads() {
-		answer.Orders = d.orders(m, true)
-	} else {
-		answer.Orders = append(answer.Orders, d.endings(m, true)...)
-	}
+	answer := protocol.BeatAnswer{Epoch: d.term.Epoch, Orders: d.orders(m, true)}
 	m.answeredAt = d.now()
 	reply(http.StatusOK, answer)
 }
@@ -203,11 +191,7 @@
 func (d *Dispatch) command(m *machine, shift int64, orders []protocol.Order, done func(status int, answer *protocol.Report)) {
 	m.calling, m.callAgain = true, false
 	epoch := d.term.Epoch
-	until := d.term.ValidUntil
-	if !d.leads() {
-		until = d.keepsUntil()
-	}
-	d.agent.Commands(m.addr, protocol.Commands{Epoch: epoch, Shift: shift, Orders: orders}, until, func(status int, r protocol.Report) {
+	d.agent.Commands(m.addr, protocol.Commands{Epoch: epoch, Shift: shift, Orders: orders}, d.actsUntil(), func(status int, r protocol.Report) {
 		if d.term.Epoch != epoch || d.machines[m.name] != m {
 			return
 		}
@@ -486,11 +470,12 @@
 }
 
 // orders is what the worker should do now, given its last report. Orders can
-// be repeated; beat answers carry all, direct commands only what is due.
+// be repeated; beat answers carry all, direct commands only what is due. Without the
+// lease there is nothing but the ends of what is cancelled.
 func (d *Dispatch) orders(m *machine, beat bool) []protocol.Order {
 	orders := append([]protocol.Order{}, d.endings(m, beat)...)
-	if !d.synced(m) {
-		return orders // its answer to the new epoch comes first
+	if !d.leads() || !d.synced(m) {
+		return orders // a worker's answer to the new epoch comes first
 	}
 	now := d.now()
 	// An order just sent by one way isn't sent again by the other.
@@ -566,13 +551,8 @@
 		m.callAgain = true
 		return
 	}
-	var orders []protocol.Order
-	if leads {
-		orders = d.orders(m, false)
-	} else if orders = d.endings(m, false); len(orders) == 0 {
-		return
-	}
-	if len(orders) == 0 && (d.synced(m) || m.syncedAt != 0 && d.now() < m.syncedAt+remindTime) {
+	orders := d.orders(m, false)
+	if len(orders) == 0 && (!leads || d.synced(m) || m.syncedAt != 0 && d.now() < m.syncedAt+remindTime) {
 		return
 	}
 	shift := m.shift
--- a/internal/intake/attestation.go
+++ b/internal/intake/attestation.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 
 	"postpoint/internal/clock"
 	"postpoint/internal/protocol"
@@ -101,14 +102,19 @@
 		return
 	}
 	back := clock.Micros(binary.BigEndian.Uint64(c.r.Body))
+	if back < 0 || back > toldTime {
+		c.later("more than can be vouched for")
+		return
+	}
 	a := Attestation{Age: now - in.began, Epoch: in.epoch}
-	for _, id := range slices.Sorted(maps.Keys(in.told)) {
-		if ago := now - in.told[id]; ago <= back {
+	for id, at := range in.told {
+		if ago := now - at; ago <= back {
 			a.Cancelled = append(a.Cancelled, CancelledJob{Job: id, Ago: ago})
 		}
 	}
+	slices.SortFunc(a.Cancelled, func(x, y CancelledJob) int { return strings.Compare(x.Job, y.Job) })
 	b := a.Encode()
-	if back < 0 || back > toldTime || len(b) > protocol.MaxBody {
+	if len(b) > protocol.MaxBody {
 		c.later("more than can be vouched for")
 		return
 	}
--- a/internal/intake/attestation_test.go
+++ b/internal/intake/attestation_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"postpoint/internal/actor/actortest"
 	"postpoint/internal/clock"
 	"postpoint/internal/ledger"
 	"postpoint/internal/protocol"
@@ -13,14 +14,6 @@
 	"postpoint/internal/statestore"
 )
 
-// moving is a mailbox that handles messages in place, at a time that the test sets.
-type moving struct{ now clock.Micros }
-
-func (m *moving) Steady() clock.Micros           { return m.now }
-func (m *moving) OfDay() clock.Micros            { return m.now }
-func (m *moving) Post(message func())            { message() }
-func (m *moving) After(_ clock.Micros, _ func()) {}
-
 // records is a state service that holds cancelled jobs and serves nothing else.
 type records struct{ statestore.Store }
 
@@ -34,7 +27,7 @@
 // elections; each cancellation counts from when it was told first, by a question's
 // answer as well, and what is older than what is asked for is left out.
 func TestAttestation(t *testing.T) {
-	box := &moving{now: 5 * clock.Second}
+	box := &actortest.Still{Now: 5 * clock.Second}
 	in := New(box, records{}, &settings.Settings{}, nil)
 	show := func(id string) { in.Handle(Request{Kind: Show, ID: id}, func(Answer) {}) }
 	ask := func(back clock.Micros) (Attestation, bool) {
@@ -46,13 +39,13 @@
 		}
 		return all[0], true
 	}
-	box.now += 10 * clock.Second
+	box.Now += 10 * clock.Second
 	show("job-000001")
 	in.Elected(9)
 	in.Elected(0) // a term that ended
-	box.now += 20 * clock.Second
+	box.Now += 20 * clock.Second
 	show("job-000002")
-	box.now += 5 * clock.Second
+	box.Now += 5 * clock.Second
 	show("job-000001") // once more
 	got, ok := ask(30 * clock.Second)
 	want := Attestation{Age: 35 * clock.Second, Epoch: 9, Cancelled: []CancelledJob{
--- a/internal/intake/connections_test.go
+++ b/internal/intake/connections_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"postpoint/internal/actor/actortest"
+	"postpoint/internal/clock"
 	"postpoint/internal/protocol"
 	"postpoint/internal/settings"
 	"postpoint/internal/statestore"
@@ -32,7 +34,7 @@
 
 // locked is a mailbox whose messages run alone, at one instant.
 type locked struct {
-	atOnce
+	*actortest.Still
 	mu *sync.Mutex
 }
 
@@ -53,7 +55,7 @@
 	}
 	set := &settings.Settings{}
 	set.Deployment.Workers.ReportS = 6
-	in := New(locked{mu: &sync.Mutex{}}, empty{}, set, func(_ Request, done func(Answer, bool)) { done(Answer{}, false) })
+	in := New(locked{Still: &actortest.Still{Now: 20 * clock.Second}, mu: &sync.Mutex{}}, empty{}, set, func(_ Request, done func(Answer, bool)) { done(Answer{}, false) })
 	in.Types([]protocol.MachineType{{Name: "g8"}})
 	in.servedAt = in.mailbox.Steady()
 	c := newConnections(l, most)
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"postpoint/internal/actor/actortest"
 	"postpoint/internal/clock"
 	"postpoint/internal/protocol"
 	"postpoint/internal/settings"
@@ -26,14 +27,6 @@
 	done(statestore.Reply[protocol.TxnAnswer]{Status: http.StatusServiceUnavailable})
 }
 
-// atOnce is a mailbox that handles messages in place, at one instant.
-type atOnce struct{}
-
-func (atOnce) Steady() clock.Micros           { return 20 * clock.Second }
-func (atOnce) OfDay() clock.Micros            { return 20 * clock.Second }
-func (atOnce) Post(message func())            { message() }
-func (atOnce) After(_ clock.Micros, _ func()) {}
-
 type beats struct{ heard []protocol.Report }
 
 func (b *beats) Beat(r protocol.Report, reply func(int, any)) {
@@ -48,7 +41,7 @@
 	set := &settings.Settings{}
 	set.Deployment.Teams = []settings.Team{{Name: "vision"}}
 	set.Deployment.State.ValueKb = 8
-	in := New(atOnce{}, down{}, set, func(_ Request, done func(Answer, bool)) { done(Answer{}, false) })
+	in := New(&actortest.Still{Now: 20 * clock.Second}, down{}, set, func(_ Request, done func(Answer, bool)) { done(Answer{}, false) })
 	in.Types([]protocol.MachineType{{Name: "g8", Cpus: 96, Gpus: 8, MemoryGB: 768, Zones: []string{"a"}}})
 	b := &beats{}
 	h := Handler(in, b)
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -19,8 +19,6 @@
 // Term is what this node may do, as of the last good renewal.
 type Term struct {
 	Epoch int64 // 0: this node does not lead
-	// ElectedAt is when the lease was asked for.
-	ElectedAt clock.Micros
 	// RenewedAt is when the last good renewal was sent: the service counts
 	// the lease from later than that.
 	RenewedAt clock.Micros
@@ -214,7 +212,7 @@
 
 func (l *Leadership) elected(epoch int64) {
 	l.round++
-	l.term = Term{Epoch: epoch, ElectedAt: l.granted}
+	l.term = Term{Epoch: epoch}
 	l.renewed(l.granted)
 	slog.Info("elected", "epoch", epoch)
 	l.named(l.cfg.Node)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -233,23 +233,23 @@
 	saving bool
 }
 
-// rented is a plan's own copy of the machines. Plans are made several times a second
+// scratch is a plan's own copy of the machines. Plans are made several times a second
 // and none of them outlives its making: the copies of hundreds of machines were a fifth
 // of all that a leader allocated.
-type rented struct {
+type scratch struct {
 	machines []Machine
 	byName   map[string]*Machine
 }
 
-var rooms = sync.Pool{New: func() any { return &rented{byName: map[string]*Machine{}} }}
+var scratches = sync.Pool{New: func() any { return &scratch{byName: map[string]*Machine{}} }}
 
 // Make plans for the snapshot, which it leaves unchanged.
 func Make(s Snapshot) Plan {
-	room := rooms.Get().(*rented)
-	defer rooms.Put(room)
-	room.machines = append(room.machines[:0], s.Machines...)
-	clear(room.byName)
-	p := &planning{machines: room.machines, byName: room.byName, teams: make(map[string]*Team, len(s.Teams))}
+	own := scratches.Get().(*scratch)
+	defer scratches.Put(own)
+	own.machines = append(own.machines[:0], s.Machines...)
+	clear(own.byName)
+	p := &planning{machines: own.machines, byName: own.byName, teams: make(map[string]*Team, len(s.Teams))}
 	slices.SortFunc(p.machines, func(a, b Machine) int { return cmp.Compare(a.Name, b.Name) })
 	for i := range p.machines {
 		m := &p.machines[i]
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -96,9 +96,9 @@
 func (w Workers) Report() clock.Micros   { return clock.FromSeconds(w.ReportS) }
 func (w Workers) GangPeer() clock.Micros { return clock.FromSeconds(w.GangPeerS) }
 
-// KeepAlive is how long after its last good renewal a leader may go on
-// answering workers: a cancellation accepted elsewhere at that very moment
-// still sees every worker's lease run out within cancel_s. See docs/rules.md.
+// KeepAlive is how long a leader may go on answering workers after the moment up to
+// which it knows every cancellation: one confirmed elsewhere right then still sees
+// every worker's lease run out within cancel_s. See docs/rules.md.
 func (w Workers) KeepAlive() clock.Micros {
 	return clock.FromSeconds(w.CancelS-w.LeaseS) - clock.Second
 }
--- a/internal/testkit/deployment.go
+++ b/internal/testkit/deployment.go
@@ -138,11 +138,7 @@
 		}
 		o := others[d.World.Rand.IntN(len(others))]
 		r.Forwarded = true
-		n.Peers.call(p, clock.Second, func(answer func(func())) {
-			if !o.Peers.Cut {
-				o.Intake.Handle(r, func(a intake.Answer) { answer(func() { done(a, true) }) })
-			}
-		}, func() { done(intake.Answer{}, false) })
+		n.asks(o, r, done)
 	})
 	n.Intake = users
 	n.Dispatch.Start()
@@ -167,14 +163,19 @@
 			n.Intake.Handle(intake.AttestRequest(back), func(a intake.Answer) { p.Post(func() { collect(a, true) }) })
 			continue
 		}
-		n.Peers.call(p, clock.Second, func(answer func(func())) {
-			if o.proc != nil && o.proc.alive && !o.Peers.Cut {
-				o.Intake.Handle(intake.AttestRequest(back), func(a intake.Answer) { answer(func() { collect(a, true) }) })
-			}
-		}, func() { collect(intake.Answer{}, false) })
+		n.asks(o, intake.AttestRequest(back), collect)
 	}
 }
 
+// asks passes a request to another node; ok tells that it answered.
+func (n *Node) asks(o *Node, r intake.Request, done func(a intake.Answer, ok bool)) {
+	n.Peers.call(n.proc, clock.Second, func(answer func(func())) {
+		if !o.Peers.Cut {
+			o.Intake.Handle(r, func(a intake.Answer) { answer(func() { done(a, true) }) })
+		}
+	}, func() { done(intake.Answer{}, false) })
+}
+
 // ask sends a user's request to any node; no answer within the user's time is
 // status 0.
 func (d *Deployment) ask(r intake.Request, done func(status int, s protocol.JobStatus)) {
@@ -438,30 +439,28 @@
 func (d *Deployment) WatchAnswers() {
 	const longest = 75 * clock.Second
 	began := d.World.now
-	var check func()
-	check = func() {
+	d.World.Every(5*clock.Second, func() {
 		for _, j := range d.order {
 			if j.accepted && !j.wantsEnd && j.told == "" && d.World.now > max(j.heardAt, began)+longest {
 				d.World.Break("unanswered", "%s since %.0f s", j.spec.ID, j.heardAt.Seconds())
 			}
 		}
-		d.World.After(5*clock.Second, check)
-	}
-	check()
+	})
 }
 
 // WatchService notes when nodes, the state service or the cloud are troubled. A machine
 // that hangs can only be rid of what was cancelled by returning it, which takes a
 // leader and the cloud: that much of quiet before the time is over must suffice.
 func (d *Deployment) WatchService() {
-	troubled := d.Cloud.Outage || d.State.outage || d.State.LateWrites > 0
-	for _, n := range d.Nodes {
-		troubled = troubled || !n.proc.alive || n.proc.still || n.State.Cut || n.State.Refused || n.Clouds.Cut || n.Workers.Cut
-	}
-	if troubled {
-		d.disturbedAt = d.World.now
-	}
-	d.World.After(250*clock.Millisecond, d.WatchService)
+	d.World.Every(250*clock.Millisecond, func() {
+		troubled := d.Cloud.Outage || d.State.outage || d.State.LateWrites > 0
+		for _, n := range d.Nodes {
+			troubled = troubled || !n.proc.alive || n.proc.still || n.State.Cut || n.State.Refused || n.Clouds.Cut || n.Workers.Cut
+		}
+		if troubled {
+			d.disturbedAt = d.World.now
+		}
+	})
 }
 
 const returnable = 12 * clock.Second
@@ -472,8 +471,7 @@
 func (d *Deployment) WatchRoom() {
 	const longest = 90 * clock.Second
 	began := d.World.now
-	var check func()
-	check = func() {
+	d.World.Every(2*clock.Second, func() {
 		for _, j := range d.order {
 			if !j.accepted || j.wantsEnd || j.told != "" || j.mistaken || d.onMachines(j) || !d.roomFor(j) {
 				j.idleAt = d.World.now
@@ -481,9 +479,7 @@
 				d.World.Break("left_waiting", "%s since %.0f s", j.spec.ID, j.idleAt.Seconds())
 			}
 		}
-		d.World.After(2*clock.Second, check)
-	}
-	check()
+	})
 }
 
 // onMachines tells that something of a job runs, waits or is being fetched.
--- a/internal/testkit/meetings_test.go
+++ b/internal/testkit/meetings_test.go
@@ -39,6 +39,14 @@
 	return w, d, cancelled, other
 }
 
+// confirmCancel has the user cancel the job and waits for the confirmation.
+func confirmCancel(w *World, d *Deployment, j *Job) {
+	d.Cancel(j)
+	for j.told == "" {
+		w.Run(w.Now() + 10*clock.Millisecond)
+	}
+}
+
 func mustKeepRules(t *testing.T, w *World) {
 	t.Helper()
 	if len(w.Broken) > 0 {
@@ -80,10 +88,7 @@
 			leader := d.Nodes[leading(t, d)]
 			leader.State.Refused = true
 			w.Run(w.Now() + w.Between(0, 500*clock.Millisecond))
-			d.Cancel(j)
-			for j.told == "" {
-				w.Run(w.Now() + 10*clock.Millisecond)
-			}
+			confirmCancel(w, d, j)
 			d.State.Outage(true)
 			for _, n := range d.Nodes {
 				if n == leader {
@@ -129,10 +134,7 @@
 	d.Nodes[leading(t, d)].State.Refused = true
 	mute := sortedKeys(j.places[0])[0]
 	mute.Mute, mute.Commands.Cut = true, true
-	d.Cancel(j)
-	for j.told == "" {
-		w.Run(w.Now() + 10*clock.Millisecond)
-	}
+	confirmCancel(w, d, j)
 	d.State.Outage(true)
 	w.Run(w.Now() + 4*clock.Second)
 	mute.Commands.Heal()
@@ -151,10 +153,7 @@
 	first := d.Nodes[leading(t, d)]
 	epoch := d.State.keys[leadership.Key].version
 	first.State.Refused = true
-	d.Cancel(j)
-	for j.told == "" {
-		w.Run(w.Now() + 10*clock.Millisecond)
-	}
+	confirmCancel(w, d, j)
 	first.Crash()
 	for d.State.keys[leadership.Key].version <= epoch {
 		w.Run(w.Now() + 200)
--- a/internal/testkit/rules_test.go
+++ b/internal/testkit/rules_test.go
@@ -252,8 +252,7 @@
 			d.Cancel(j)
 		}
 	}
-	good := protocol.JobSpec{ID: "job-900001", Class: "c", Team: "limited", Shape: protocol.ShapeArray, Rank: "normal",
-		Tasks: 2, Cpus: 2, MemoryGB: 1, Image: "i", EstimateS: 5}
+	good := array("job-900001", "limited", 2, 2, 5)
 	huge, greedy, unknown := good, good, good
 	huge.MemoryGB = 4096
 	greedy.Shape, greedy.Tasks, greedy.Gpus = protocol.ShapeGang, 5, 1
--- a/internal/testkit/scenes_test.go
+++ b/internal/testkit/scenes_test.go
@@ -18,8 +18,7 @@
 func TestCutOffLeaderLetsCancelledTasksGo(t *testing.T) {
 	w := NewWorld(3)
 	d := NewDeployment(w, testSettings(), testTypes(), 0)
-	spec := protocol.JobSpec{ID: "job-000001", Class: "c", Team: "open", Shape: protocol.ShapeArray, Rank: "normal",
-		Tasks: 4, Cpus: 2, MemoryGB: 1, Image: "i", EstimateS: 500}
+	spec := array("job-000001", "open", 4, 2, 500)
 	j := d.Submit(spec, 500*clock.Second, false)
 	w.Run(40 * clock.Second)
 	if len(j.places) != 4 {
@@ -70,8 +69,7 @@
 	set := testSettings()
 	set.Deployment.Workers.LeaseS, set.Deployment.Workers.CancelS = 16, 36
 	d := NewDeployment(w, set, testTypes(), 0)
-	spec := protocol.JobSpec{ID: "job-000001", Class: "c", Team: "open", Shape: protocol.ShapeArray, Rank: "normal",
-		Tasks: 12, Cpus: 2, MemoryGB: 1, Image: "i", EstimateS: 60}
+	spec := array("job-000001", "open", 12, 2, 60)
 	j := d.Submit(spec, 60*clock.Second, false)
 	w.Run(40 * clock.Second)
 	deaf := leading(t, d)
@@ -101,8 +99,7 @@
 		d.StartNode(n)
 	}
 	w.Run(w.Now() + 10*clock.Second)
-	j := d.Submit(protocol.JobSpec{ID: "job-000001", Class: "c", Team: "open", Shape: protocol.ShapeArray, Rank: "normal",
-		Tasks: 1, Cpus: 2, MemoryGB: 1, Image: "i", EstimateS: 5}, 5*clock.Second, false)
+	j := d.Submit(array("job-000001", "open", 1, 2, 5), 5*clock.Second, false)
 	w.Run(w.Now() + 2*clock.Second)
 	if !j.accepted {
 		t.Fatal("not accepted")
@@ -155,8 +152,7 @@
 	w := NewWorld(7)
 	d := NewDeployment(w, testSettings(), testTypes(), 0)
 	d.Cloud.Capacity = map[fleet.Kind]int{{Type: "small", Zone: "a"}: 4}
-	spec := protocol.JobSpec{ID: "job-000001", Class: "c", Team: "open", Shape: protocol.ShapeArray, Rank: "normal",
-		Tasks: 8, Cpus: 4, MemoryGB: 1, Image: "i", EstimateS: 30}
+	spec := array("job-000001", "open", 8, 4, 30)
 	j := d.Submit(spec, 30*clock.Second, false)
 	w.Run(25 * clock.Second)
 	for _, m := range d.Workers() {
@@ -171,8 +167,7 @@
 	t.Helper()
 	w := NewWorld(seed)
 	d := NewDeployment(w, testSettings(), testTypes(), 0)
-	spec := protocol.JobSpec{ID: "job-000001", Class: "c", Team: "open", Shape: protocol.ShapeArray, Rank: "normal",
-		Tasks: 8, Cpus: 4, MemoryGB: 1, Image: "i", EstimateS: run.Seconds()}
+	spec := array("job-000001", "open", 8, 4, run.Seconds())
 	j := d.Submit(spec, run, false)
 	w.Run(40 * clock.Second)
 	if len(j.places) != 8 {
@@ -315,8 +310,7 @@
 	w := NewWorld(15)
 	d := NewDeployment(w, testSettings(), testTypes(), 0)
 	d.Cloud.Capacity = map[fleet.Kind]int{{Type: "small", Zone: "a"}: 2}
-	spec := protocol.JobSpec{ID: "job-000001", Class: "c", Team: "open", Shape: protocol.ShapeArray, Rank: "normal",
-		Tasks: 2, Cpus: 6, MemoryGB: 1, Image: "i", EstimateS: 20}
+	spec := array("job-000001", "open", 2, 6, 20)
 	first := d.Submit(spec, 20*clock.Second, false)
 	for !first.Done() && w.Now() < 100*clock.Second {
 		w.Run(w.Now() + 100*clock.Millisecond)
@@ -357,8 +351,7 @@
 				stand := func(n *Node, from int) {
 					n.proc.StandFor, n.proc.StandAfter = length, from
 				}
-				d.Submit(protocol.JobSpec{ID: "job-000002", Class: "c", Team: "open", Shape: protocol.ShapeArray, Rank: "normal",
-					Tasks: 6, Cpus: 4, MemoryGB: 1, Image: "i", EstimateS: 10}, 10*clock.Second, false)
+				d.Submit(array("job-000002", "open", 6, 4, 10), 10*clock.Second, false)
 				if electing {
 					for _, n := range d.Nodes {
 						if n != leader {
--- a/internal/testkit/world.go
+++ b/internal/testkit/world.go
@@ -53,6 +53,12 @@
 	heap.Push(&w.agenda, event{w.now + max(d, 0), w.seq, do})
 }
 
+// Every does something now and again after each period.
+func (w *World) Every(period clock.Micros, do func()) {
+	do()
+	w.After(period, func() { w.Every(period, do) })
+}
+
 // Run plays until the given time.
 func (w *World) Run(until clock.Micros) {
 	for len(w.agenda) > 0 && w.agenda[0].at <= until {
