--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,107 @@
+// Package controller assembles one controller process: its actors, the clients of
+// the outside systems, and the servers for users, workers and the other controllers.
+package controller
+
+import (
+	"crypto/rand"
+	"fmt"
+	"runtime"
+	"runtime/debug"
+
+	"postpoint/internal/actor"
+	"postpoint/internal/agent"
+	"postpoint/internal/clock"
+	"postpoint/internal/cloud"
+	"postpoint/internal/dispatch"
+	"postpoint/internal/intake"
+	"postpoint/internal/leadership"
+	"postpoint/internal/peer"
+	"postpoint/internal/protocol"
+	"postpoint/internal/settings"
+	"postpoint/internal/statestore"
+)
+
+// Options are the operator's own settings of a controller.
+type Options struct {
+	// LeaseTTL is how long leadership outlasts its last renewal.
+	LeaseTTL clock.Micros
+}
+
+// Validate checks the options against the platform's settings.
+func (o Options) Validate(s *settings.Settings) error {
+	if o.LeaseTTL < clock.Second || o.LeaseTTL > s.Deployment.Workers.Lease() {
+		return fmt.Errorf("--lease-ttl-ms: %d is not between a second and the workers' lease", o.LeaseTTL/clock.Millisecond)
+	}
+	return nil
+}
+
+const (
+	// reservedSockets are left of the machine's limit for what this process connects
+	// to and for its peers: neither workers nor users can lock out the state service.
+	reservedSockets = agent.Sockets + 2*peer.Sockets + 64
+	// minClientConnections are accepted whatever the limit is.
+	minClientConnections = 64
+	// heapShare of the memory limit is the collector's; the rest is for stacks, the C
+	// library and the binary.
+	heapShare = 0.75
+	gcPercent = 300
+)
+
+// ApplyLimits fits the Go runtime to the machine: with a part of one core, more
+// threads would only take turns on it.
+func ApplyLimits(l settings.MachineLimits) {
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(l.MemoryMb * 1e6 * heapShare))
+	debug.SetGCPercent(gcPercent)
+}
+
+// Run starts the actors and serves until one of the listeners fails.
+func Run(s *settings.Settings, o Options) error {
+	machineClock := clock.System()
+	state := statestore.New(s.Outside.State, s.Deployment.State)
+	var peers []string
+	for _, p := range s.Known {
+		peers = append(peers, p.PeerAddr)
+	}
+
+	var leader *leadership.Leadership
+	var users *intake.Intake
+	dispatchBox := actor.New(machineClock)
+	everyone := peer.NewForwarder(peers, dispatchBox)
+	dispatcher := dispatch.New(dispatchBox, state.For(dispatchBox), cloud.New(s.Outside.Cloud).For(dispatchBox),
+		agent.New().For(dispatchBox), s,
+		func(epoch int64) { leader.Deposed(epoch) },
+		func() { leader.Resign() },
+		func(back clock.Micros, done func([]intake.Attestation, bool)) {
+			everyone.Everyone(users, intake.AttestRequest(back), func(answers []intake.Answer, ok bool) {
+				done(intake.Attestations(answers, ok))
+			})
+		},
+		func(types []protocol.MachineType) { users.Types(types) })
+
+	leaderBox := actor.New(machineClock)
+	leader = leadership.New(leaderBox, state.For(leaderBox),
+		leadership.Config{Node: s.Node, Incarnation: rand.Text(), TTL: o.LeaseTTL},
+		func(t leadership.Term) {
+			users.Elected(t.Epoch) // first: nothing is vouched for after the term has begun
+			dispatcher.Term(t)
+		}, dispatcher.Leader)
+
+	usersBox := actor.New(machineClock)
+	users = intake.New(usersBox, state.For(usersBox), s, peer.NewForwarder(peers, usersBox).Forward)
+
+	dispatcher.Start()
+	leader.Start()
+	failed := make(chan error, 2)
+	go func() { failed <- peer.Serve(s.InternalAddr, users) }()
+	go func() {
+		failed <- intake.Serve(s.Bind, clientConnections(s.Deployment.MachineLimits), users, dispatcher)
+	}()
+	return <-failed
+}
+
+// clientConnections is how many connections of users, workers and health checks the
+// machine has sockets for.
+func clientConnections(l settings.MachineLimits) int {
+	return max(l.MaxSockets-reservedSockets, minClientConnections)
+}
--- a/internal/testkit/deployment.go
+++ b/internal/testkit/deployment.go
@@ -47,7 +47,20 @@
 	Workers, Peers Link
 	Dispatch       *dispatch.Dispatch
 	Intake         *intake.Intake
-	runs           int
+	// reports and requests are the node as workers and users reach it.
+	reports  reportHandler
+	requests requestHandler
+	runs     int
+}
+
+// reportHandler answers workers' reports.
+type reportHandler interface {
+	Beat(r protocol.Report, reply func(status int, body any))
+}
+
+// requestHandler answers users' requests.
+type requestHandler interface {
+	Handle(r intake.Request, reply func(intake.Answer))
 }
 
 // Deployment is a whole deployment in a world.
@@ -68,11 +81,14 @@
 	byAddr      map[string]*Worker
 	used        map[string]planner.Amounts // by team, on machines
 	Commands    int                        // direct ones
+	// address gives a new worker its address.
+	address func(name string) string
 }
 
 // NewDeployment starts three nodes.
 func NewDeployment(w *World, set *settings.Settings, types []protocol.MachineType, loss float64) *Deployment {
-	d := &Deployment{World: w, Settings: set, State: NewState(w), Loss: loss, jobs: map[string]*Job{}, byAddr: map[string]*Worker{}, used: map[string]planner.Amounts{}}
+	d := &Deployment{World: w, Settings: set, State: NewState(w), Loss: loss, jobs: map[string]*Job{}, byAddr: map[string]*Worker{}, used: map[string]planner.Amounts{},
+		address: func(name string) string { return name + ":9000" }}
 	d.Cloud = newCloud(d, types)
 	for i := range 3 {
 		n := &Node{Name: fmt.Sprintf("worker-%d", i)}
@@ -141,6 +157,7 @@
 		n.asks(o, r, done)
 	})
 	n.Intake = users
+	n.reports, n.requests = n.Dispatch, users
 	n.Dispatch.Start()
 	leader.Start()
 }
@@ -206,7 +223,7 @@
 			}
 			done(a.Status, s)
 		}
-		n.Intake.Handle(r, func(a intake.Answer) {
+		n.requests.Handle(r, func(a intake.Answer) {
 			proc.leaves(func() { d.World.After(clock.Millisecond, func() { told(a) }) })
 		})
 	})
--- a/internal/testkit/worker.go
+++ b/internal/testkit/worker.go
@@ -71,7 +71,7 @@
 }
 
 func (d *Deployment) boot(name string, k fleet.Kind) *Worker {
-	m := &Worker{d: d, name: name, addr: name + ":9000", typ: k.Type, zone: k.Zone, spot: k.Spot,
+	m := &Worker{d: d, name: name, addr: d.address(name), typ: k.Type, zone: k.Zone, spot: k.Spot,
 		status: protocol.MachineStarting, rentedAt: d.World.now, Link: Link{w: d.World, Loss: d.Loss},
 		Commands: Link{w: d.World, Loss: d.Loss}, Late: 2 * d.Loss, forgotten: map[taskRef]bool{}}
 	d.byAddr[m.addr] = m
@@ -232,7 +232,7 @@
 			return
 		}
 		proc := n.proc
-		n.Dispatch.Beat(r, func(status int, body any) {
+		n.reports.Beat(r, func(status int, body any) {
 			if a, ok := body.(protocol.BeatAnswer); ok {
 				m.d.checkLease(n, a.Epoch, a.Orders)
 			}
@@ -270,7 +270,7 @@
 		// Nobody waits for what is answered to a copy, which counts for nothing.
 		w.After(w.Between(clock.Second, 3*m.d.Settings.Deployment.Workers.Lease()), func() {
 			if n.proc != nil && n.proc.alive && !n.Workers.Cut && !m.Mute {
-				n.Dispatch.Beat(r, func(int, any) {})
+				n.reports.Beat(r, func(int, any) {})
 			}
 		})
 	}
