A worker's connection is taken over after its first report

Cause: in the loopback profile http.Server's own share of each report (a background read, a context, two buffers, four deadlines, response headers) was as large as decoding and handling it.

--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -107,12 +107,32 @@
 	defer c.mu.Unlock()
 	c.wakes(x)
 	// One that has sent nothing yet makes way like one that has nothing more to say.
-	if (s == http.StateIdle || s == http.StateNew) && !x.closed {
+	if s == http.StateIdle || s == http.StateNew {
+		c.rests(x)
+	}
+}
+
+func (c *connections) rests(x *connection) {
+	if !x.closed {
 		x.rests = c.resting.PushBack(x)
 		c.freed.Signal()
 	}
 }
 
+// rest and wake are told of connections that the server no longer has: see takeOver.
+func (c *connections) rest(x *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wakes(x)
+	c.rests(x)
+}
+
+func (c *connections) wake(x *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wakes(x)
+}
+
 // connection is an accepted one.
 type connection struct {
 	net.Conn
@@ -120,6 +140,8 @@
 	rests  *list.Element // while it is idle
 	worker bool
 	closed bool
+	// takenOver tells that it isn't the server's any more.
+	takenOver bool
 	// reports belongs to the requests of the connection, which come one by one.
 	reports protocol.ReportDecoder
 }
--- /dev/null
+++ b/internal/intake/persistent.go
@@ -0,0 +1,130 @@
+package intake
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"postpoint/internal/protocol"
+)
+
+// Workers keep their connections and report by them every few seconds, which is most
+// of what a leader is asked. http.Server watches each connection in the background
+// while a request is handled, keeps two buffers and a context for it and moves its
+// deadlines four times: about half of a leader's time went there. After a worker's
+// first report its connection is therefore taken over (http.Hijacker) and its requests
+// are read one after another by the same package's parser, for the same handler.
+
+// persistentConnection is a worker's connection that was taken over.
+type persistentConnection struct {
+	conn    *connection
+	handler http.Handler
+	// idle is how long a request may take to come, and then to be answered.
+	idle time.Duration
+	// limited bounds what one request may have, header included.
+	limited io.LimitedReader
+	reader  *bufio.Reader
+	context context.Context
+	answer  bufferedResponse
+}
+
+// maxRequest is the largest request on a connection that was taken over.
+const maxRequest = protocol.MaxBody + maxHeader
+
+// readBuffer is what a connection holds between requests; reports of a few tasks fit.
+const readBuffer = 2 << 10
+
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, 2<<10) }}
+
+// takeOver serves the requests that follow the present one on its connection. The
+// present one must have been answered in full. It leaves the connection to http.Server
+// if that isn't the one that read the request, or if more has come already.
+func takeOver(w http.ResponseWriter, r *http.Request, handler http.Handler, idle time.Duration) {
+	conn, ok := r.Context().Value(connectionKey{}).(*connection)
+	if !ok || r.Close || conn.takenOver {
+		return
+	}
+	control := http.NewResponseController(w)
+	if control.Flush() != nil {
+		return
+	}
+	raw, buffered, err := control.Hijack()
+	if err != nil {
+		return
+	}
+	conn.takenOver = true
+	if buffered.Reader.Buffered() > 0 {
+		_ = raw.Close() // requests are sent without pipelining
+		return
+	}
+	p := &persistentConnection{conn: conn, handler: handler, idle: idle,
+		context: known(context.Background(), conn), answer: bufferedResponse{header: http.Header{}}}
+	p.limited.R = conn
+	p.reader = bufio.NewReaderSize(&p.limited, readBuffer)
+	go p.serve()
+}
+
+func (p *persistentConnection) serve() {
+	defer p.conn.Close()
+	for p.next() {
+	}
+}
+
+// next reads and answers one request; it tells whether the connection goes on.
+func (p *persistentConnection) next() bool {
+	p.conn.of.rest(p.conn)
+	p.limited.N = maxRequest
+	if p.conn.SetDeadline(time.Now().Add(p.idle)) != nil {
+		return false
+	}
+	if _, err := p.reader.Peek(1); err != nil {
+		return false
+	}
+	p.conn.of.wake(p.conn)
+	request, err := http.ReadRequest(p.reader)
+	if err != nil || request.Header.Get("Expect") != "" {
+		return false
+	}
+	p.answer.reset()
+	p.handler.ServeHTTP(&p.answer, request.WithContext(p.context))
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return false
+	}
+	if request.Close {
+		p.answer.header.Set("Connection", "close")
+	}
+	return p.write(request) && p.answer.header.Get("Connection") == ""
+}
+
+func (p *persistentConnection) write(request *http.Request) bool {
+	response := http.Response{StatusCode: p.answer.status, ProtoMajor: 1, ProtoMinor: 1, Request: request, Header: p.answer.header,
+		ContentLength: int64(p.answer.body.Len()), Body: io.NopCloser(&p.answer.body)}
+	w := writers.Get().(*bufio.Writer)
+	defer writers.Put(w)
+	w.Reset(p.conn)
+	return response.Write(w) == nil && w.Flush() == nil
+}
+
+// bufferedResponse collects an answer.
+type bufferedResponse struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (b *bufferedResponse) reset() {
+	clear(b.header)
+	b.status = http.StatusOK
+	b.body.Reset()
+}
+
+func (b *bufferedResponse) Header() http.Header               { return b.header }
+func (b *bufferedResponse) WriteHeader(status int)            { b.status = status }
+func (b *bufferedResponse) Write(content []byte) (int, error) { return b.body.Write(content) }
+
+var _ net.Conn = (*connection)(nil)
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -28,6 +28,9 @@
 	return serve(newConnections(l, maxConnections), in, beats)
 }
 
+// maxHeader bounds the header of a request.
+const maxHeader = 8 << 10
+
 func serve(c *connections, in *Intake, beats Beats) error {
 	server := &http.Server{
 		Handler:           Handler(in, beats),
@@ -35,7 +38,7 @@
 		ReadTimeout:       10 * time.Second,
 		WriteTimeout:      10 * time.Second,
 		IdleTimeout:       idleTime(in.set.Deployment.Workers.Report().Duration()),
-		MaxHeaderBytes:    8 << 10,
+		MaxHeaderBytes:    maxHeader,
 		ConnState:         c.state,
 		ConnContext:       known,
 	}
@@ -101,10 +104,14 @@
 		answered := make(chan answer, 1)
 		beats.Beat(report, func(status int, body any) { answered <- answer{status, body} })
 		a := <-answered
-		if !reports(r) {
+		stays := reports(r)
+		if !stays {
 			w.Header().Set("Connection", "close")
 		}
 		write(w, a.status, protocol.Encode(a.body))
+		if stays {
+			takeOver(w, r, mux, idleTime(in.set.Deployment.Workers.Report().Duration()))
+		}
 	})
 	return mux
 }
