--- a/internal/actor/actortest/actortest.go
+++ b/internal/actor/actortest/actortest.go
@@ -7,9 +7,16 @@
 // later never does.
 type Still struct{ Now clock.Micros }
 
-func (s *Still) Steady() clock.Micros           { return s.Now }
-func (s *Still) OfDay() clock.Micros            { return s.Now }
-func (s *Still) Post(message func())            { message() }
+// Steady gives the time that the test has set.
+func (s *Still) Steady() clock.Micros { return s.Now }
+
+// OfDay gives the same time.
+func (s *Still) OfDay() clock.Micros { return s.Now }
+
+// Post handles the message at once.
+func (s *Still) Post(message func()) { message() }
+
+// After drops the message.
 func (s *Still) After(_ clock.Micros, _ func()) {}
 
 // Instant is a mailbox at one instant, whose messages reach the test one by one: for
@@ -19,7 +26,14 @@
 	Messages chan func()
 }
 
-func (i Instant) Steady() clock.Micros           { return i.Now }
-func (i Instant) OfDay() clock.Micros            { return i.Now }
-func (i Instant) Post(message func())            { i.Messages <- message }
+// Steady gives the mailbox's instant.
+func (i Instant) Steady() clock.Micros { return i.Now }
+
+// OfDay gives the same instant.
+func (i Instant) OfDay() clock.Micros { return i.Now }
+
+// Post hands the message to the test.
+func (i Instant) Post(message func()) { i.Messages <- message }
+
+// After drops the message.
 func (i Instant) After(_ clock.Micros, _ func()) {}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -32,11 +32,13 @@
 	idleTime = 10 * clock.Second
 )
 
+// Client is the process's pool of connections to workers.
 type Client struct {
 	calls *transport.Client
 	slots chan struct{}
 }
 
+// New makes a client without connections.
 func New() *Client {
 	return &Client{transport.New(1, idle, idleTime), make(chan struct{}, calling)}
 }
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -7,6 +7,7 @@
 // Micros is a duration or an instant in whole microseconds.
 type Micros int64
 
+// Units of time.
 const (
 	Millisecond Micros = 1000
 	Second      Micros = 1000 * Millisecond
@@ -15,7 +16,10 @@
 // FromSeconds rounds down to whole microseconds.
 func FromSeconds(s float64) Micros { return Micros(s * 1e6) }
 
-func (m Micros) Seconds() float64        { return float64(m) / 1e6 }
+// Seconds is for computations and for people.
+func (m Micros) Seconds() float64 { return float64(m) / 1e6 }
+
+// Duration is for the standard library.
 func (m Micros) Duration() time.Duration { return time.Duration(m) * time.Microsecond }
 
 // Clock is the machine's pair of clocks.
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -30,17 +30,22 @@
 const (
 	timeout = 4 * clock.Second
 	limit   = 4 << 20
-	// PageSize and ReleaseSize are the interface's own bounds.
+)
+
+// The interface's own bounds: machines in a page of the list, in a return, in a rental.
+const (
 	PageSize    = 500
 	ReleaseSize = 100
 	RentalSize  = 50
 )
 
+// Client is the process's pool of connections to the cloud.
 type Client struct {
 	base  string
 	calls *transport.Client
 }
 
+// New makes a client of the cloud at an address.
 func New(addr string) *Client { return &Client{"http://" + addr, transport.New(4, 4, transport.Kept)} }
 
 // For gives the interface whose answers arrive in the given mailbox.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -318,7 +318,7 @@
 		"a task has been added": func(_ *Dispatch, _ *job, r *protocol.Report) {
 			r.Tasks = append(slices.Clone(r.Tasks), protocol.TaskReport{Task: "job-2/0", Try: 1, Status: protocol.TaskRunning})
 		},
-		"a gang is incomplete": func(d *Dispatch, j *job, _ *protocol.Report) {
+		"a gang is incomplete": func(_ *Dispatch, j *job, _ *protocol.Report) {
 			j.Spec.Shape, j.Spec.Tasks, j.spoilt = protocol.ShapeGang, 9, 1
 		},
 	} {
--- a/internal/dispatch/overview.go
+++ b/internal/dispatch/overview.go
@@ -17,6 +17,7 @@
 	Failing  []FailingJob    `json:"failing,omitempty"`
 }
 
+// ClassOverview counts the open jobs of a class.
 type ClassOverview struct {
 	Class   string `json:"class"`
 	Jobs    int    `json:"jobs"`
@@ -24,6 +25,7 @@
 	Placed  int    `json:"placed_tasks"`
 }
 
+// KindOverview counts the machines of one type, zone and price.
 type KindOverview struct {
 	Type     string `json:"type"`
 	Zone     string `json:"zone"`
@@ -36,6 +38,7 @@
 	NoCapacity bool `json:"no_capacity"`
 }
 
+// FailingJob is an open job whose last start failed.
 type FailingJob struct {
 	Job   string `json:"job"`
 	Cause string `json:"cause"`
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -18,6 +18,7 @@
 // Kind is what a user asks for.
 type Kind byte
 
+// What users and nodes ask for.
 const (
 	Submit Kind = iota + 1
 	Show
@@ -76,6 +77,7 @@
 	maxTries  = 6
 )
 
+// New makes the actor; forward passes requests on that the state service doesn't serve here.
 func New(m actor.Mailbox, s statestore.Store, set *settings.Settings, forward Forward) *Intake {
 	return &Intake{mailbox: m, store: s, set: set, forward: forward, finals: map[string]protocol.JobStatus{},
 		began: m.Steady(), told: map[string]clock.Micros{}}
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -69,7 +69,7 @@
 	mux.HandleFunc("POST /api/jobs/{id}/withdraw", func(w http.ResponseWriter, r *http.Request) {
 		user(w, Request{Kind: Cancel, ID: r.PathValue("id")})
 	})
-	mux.HandleFunc("GET /up", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET /up", func(w http.ResponseWriter, _ *http.Request) {
 		ready := make(chan bool, 1)
 		in.Ready(func(ok bool) { ready <- ok })
 		if !<-ready {
@@ -79,7 +79,7 @@
 		write(w, http.StatusOK, nil)
 	})
 	// For operators: what this node knows, as JSON.
-	mux.HandleFunc("GET /overview", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET /overview", func(w http.ResponseWriter, _ *http.Request) {
 		answered := make(chan any, 1)
 		beats.Overview(func(o any) { answered <- o })
 		w.Header().Set("Content-Type", "application/json")
--- a/internal/intake/spec.go
+++ b/internal/intake/spec.go
@@ -34,11 +34,11 @@
 	r := bytes.NewReader(raw)
 	dec := msgpack.NewDecoder(r)
 	dec.UseLooseInterfaceDecoding(true)
-	var any any
-	if any, err = dec.DecodeInterface(); err != nil {
+	content, err := dec.DecodeInterface()
+	if err != nil {
 		return spec, fmt.Errorf("not MessagePack")
 	}
-	fields, ok := any.(map[string]interface{})
+	fields, ok := content.(map[string]any)
 	if !ok || r.Len() > 0 {
 		return spec, fmt.Errorf("not a MessagePack map with text keys")
 	}
@@ -46,7 +46,7 @@
 	spec.ID = p.text("Uid")
 	if p.err == nil && !protocol.ValidJobID(spec.ID) {
 		spec.ID = ""
-		return spec, fmt.Errorf("Uid is not a job id")
+		return spec, fmt.Errorf("field Uid is not a job id")
 	}
 	spec.Class = p.text("Lane")
 	spec.Team = p.text("Desk")
@@ -74,13 +74,13 @@
 	}
 	shapes := []string{protocol.ShapeArray, protocol.ShapeGang, protocol.ShapeService}
 	if p.err == nil && !slices.Contains(shapes, spec.Shape) {
-		p.err = fmt.Errorf("Shape is none of %v", shapes)
+		p.err = fmt.Errorf("field Shape is none of %v", shapes)
 	}
 	if p.err == nil && protocol.RankOf(spec.Rank) < 0 {
-		p.err = fmt.Errorf("Rank is none of %v", protocol.Ranks)
+		p.err = fmt.Errorf("field Rank is none of %v", protocol.Ranks)
 	}
 	if p.err == nil && (spec.Tasks < 1 || spec.Tasks > maxTasks) {
-		p.err = fmt.Errorf("Legs is not from 1 to %d", maxTasks)
+		p.err = fmt.Errorf("field Legs is not from 1 to %d", maxTasks)
 	}
 	return spec, p.err
 }
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -26,6 +26,7 @@
 	ValidUntil clock.Micros
 }
 
+// Config is what a node stands for election with.
 type Config struct {
 	Node string
 	// Incarnation tells this process from earlier ones of the same node.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -154,7 +154,7 @@
 }
 
 // wide is a job of 2,000 tasks that can all run at once, eight on a machine.
-func wide(t testing.TB) *Job {
+func wide() *Job {
 	const limit = 32 << 10
 	j := New(protocol.JobSpec{ID: "job-000001", Class: "extrase", Team: "evaluare", Shape: protocol.ShapeArray, Rank: "normal", Tasks: 2000}, 1)
 	for range 6 {
@@ -169,7 +169,7 @@
 // The widest arrays of a grown deployment needn't run in waves for their record's
 // sake, and it stays within the limit as their tasks end one by one.
 func TestWideArraysRunAtOnce(t *testing.T) {
-	j := wide(t)
+	j := wide()
 	if len(j.Placed) != j.Spec.Tasks {
 		t.Fatalf("%d of %d tasks run", len(j.Placed), j.Spec.Tasks)
 	}
@@ -185,14 +185,14 @@
 }
 
 func BenchmarkEncodeWide(b *testing.B) {
-	j := wide(b)
+	j := wide()
 	for b.Loop() {
 		j.Encode()
 	}
 }
 
 func BenchmarkDecodeWide(b *testing.B) {
-	raw := wide(b).Encode()
+	raw := wide().Encode()
 	for b.Loop() {
 		if _, err := Decode(raw); err != nil {
 			b.Fatal(err)
--- a/internal/ledger/ranges.go
+++ b/internal/ledger/ranges.go
@@ -22,11 +22,13 @@
 	return sort.Search(len(r.spans), func(i int) bool { return r.spans[i].hi >= n })
 }
 
+// Has tells whether n is in the set.
 func (r *Ranges) Has(n int) bool {
 	i := r.find(n)
 	return i < len(r.spans) && r.spans[i].lo <= n
 }
 
+// Len is how many numbers are in the set.
 func (r *Ranges) Len() int { return r.count }
 
 // Add puts n into the set.
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -16,6 +16,7 @@
 // in front of it.
 const Prefix = "jobs/"
 
+// Key is the key of a job's record.
 func Key(job string) string { return Prefix + job }
 
 // Placement is a task's place. It stays in the record until it is proven that
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -49,19 +49,19 @@
 	go func() {
 		defer func() { <-f.slots }()
 		var last intake.Answer
-		any := false
+		answered := false
 		for _, addr := range f.addrs {
 			a, err := ask(addr, r)
 			if err != nil {
 				slog.Debug("peer does not answer", "peer", addr, "error", err)
 				continue
 			}
-			last, any = a, true
+			last, answered = a, true
 			if a.Status != http.StatusServiceUnavailable {
 				break
 			}
 		}
-		f.mailbox.Post(func() { done(last, any) })
+		f.mailbox.Post(func() { done(last, answered) })
 	}()
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -21,18 +21,22 @@
 // slack absorbs the rounding of decimal amounts.
 const slack = 1e-6
 
+// Fits tells whether there is room for a.
 func (a Amounts) Fits(in Amounts) bool {
 	return a.Cpus <= in.Cpus+slack && a.Gpus <= in.Gpus+slack && a.MemoryGB <= in.MemoryGB+slack
 }
 
+// Plus adds two amounts.
 func (a Amounts) Plus(b Amounts) Amounts {
 	return Amounts{a.Cpus + b.Cpus, a.Gpus + b.Gpus, a.MemoryGB + b.MemoryGB}
 }
 
+// Minus subtracts b; the result may be negative.
 func (a Amounts) Minus(b Amounts) Amounts {
 	return Amounts{a.Cpus - b.Cpus, a.Gpus - b.Gpus, a.MemoryGB - b.MemoryGB}
 }
 
+// Times is a, k times.
 func (a Amounts) Times(k float64) Amounts {
 	return Amounts{k * a.Cpus, k * a.Gpus, k * a.MemoryGB}
 }
@@ -157,11 +161,11 @@
 type Tier int
 
 const (
-	// StartsInTime: the aim for its start can be met, if it starts now.
+	// StartsInTime says that the aim for its start can be met, if it starts now.
 	StartsInTime Tier = iota
-	// EndsInTime: the aim for its end can be met; the least slack goes first.
+	// EndsInTime says that the aim for its end can be met; the least slack goes first.
 	EndsInTime
-	// TooLate: no aim can be met any more. It gives way, in the order of
+	// TooLate says that no aim can be met any more. It gives way, in the order of
 	// submission, until it has waited so long that it goes first again.
 	TooLate
 )
@@ -182,6 +186,7 @@
 		(t.Limit.Gpus == 0 || t.Used.Gpus+k*a.Gpus <= t.Limit.Gpus+slack)
 }
 
+// Snapshot is all that a plan depends on.
 type Snapshot struct {
 	Jobs     []Job
 	Machines []Machine
@@ -209,6 +214,7 @@
 	Tasks int
 }
 
+// Plan is what is to be done now.
 type Plan struct {
 	Places []Place
 	Stops  []Stop
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -454,7 +454,7 @@
 		return cheapest
 	}
 	up := func(m *Machine) bool { return !m.Booting }
-	any := func(*Machine) bool { return true }
+	every := func(*Machine) bool { return true }
 	// holds starts the gang on the same machines, all of them empty, task by task.
 	holds := func(j *Job) bool {
 		for _, zone := range choices(j) {
@@ -506,7 +506,7 @@
 			}
 			places := gang(j, up)
 			if places == nil {
-				places = gang(j, any)
+				places = gang(j, every)
 			}
 			for i, m := range places {
 				p.take(j, j.Pending[i], m, team)
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -84,6 +84,7 @@
 	DeadlineS   *float64 `msgpack:"DueS"`
 }
 
+// Gang tells that all tasks of the job run together or none does.
 func (s *JobSpec) Gang() bool { return s.Shape == ShapeGang }
 
 // JobStatus answers users. Cause is an extra field: why the last start failed.
@@ -148,6 +149,7 @@
 	VerbForget = "forget"
 )
 
+// Order is one command to a worker.
 type Order struct {
 	Verb   string  `msgpack:"Verb"`
 	Task   string  `msgpack:"Leg"`
@@ -214,6 +216,7 @@
 	Zones       []string `msgpack:"Halls"`
 }
 
+// Catalogue has the machine types that can be rented.
 type Catalogue struct {
 	Types []MachineType `msgpack:"Fleets"`
 }
@@ -248,6 +251,7 @@
 	MachineFailed   = "failed"
 )
 
+// ListedMachine is one entry of the cloud's list of machines.
 type ListedMachine struct {
 	Name    string  `msgpack:"Uid"`
 	Address string  `msgpack:"Address"`
@@ -258,6 +262,7 @@
 	AgeS    float64 `msgpack:"HeldS"`
 }
 
+// MachineList is one page of the cloud's list.
 type MachineList struct {
 	Machines []ListedMachine `msgpack:"Hosts"`
 	More     bool            `msgpack:"HasNext"`
@@ -270,12 +275,14 @@
 	Version int64              `msgpack:"Stamp"`
 }
 
+// ItemList is one page of keys, as of one revision.
 type ItemList struct {
 	Items    []Item `msgpack:"Items"`
 	More     bool   `msgpack:"HasNext"`
 	Revision int64  `msgpack:"Ledger"`
 }
 
+// Guard is a condition of a transaction: a key's version, 0 if it must not exist.
 type Guard struct {
 	Key     string `msgpack:"Path"`
 	Version int64  `msgpack:"Stamp"`
@@ -289,21 +296,25 @@
 	Delete string             `msgpack:"Delete,omitempty"`
 }
 
+// Txn is a transaction: its changes apply if all its guards hold.
 type Txn struct {
 	Guards  []Guard  `msgpack:"Guards"`
 	Changes []Change `msgpack:"Writes"`
 }
 
+// TxnAnswer says at which revision a transaction was applied, or what failed.
 type TxnAnswer struct {
 	Revision int64    `msgpack:"Ledger"`
 	Failed   []string `msgpack:"failed"`
 	Error    string   `msgpack:"error"`
 }
 
+// LeaseRequest asks for a lease.
 type LeaseRequest struct {
 	TTLMs int64 `msgpack:"TtlMs"`
 }
 
+// LeaseAnswer names a lease.
 type LeaseAnswer struct {
 	Lease int64 `msgpack:"Permit"`
 }
@@ -316,6 +327,7 @@
 	Version int64              `msgpack:"Stamp"`
 }
 
+// FollowAnswer has all changes since the revision that was asked about.
 type FollowAnswer struct {
 	Revision int64   `msgpack:"Ledger"`
 	Events   []Event `msgpack:"Log"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,7 @@
 	"postpoint/internal/clock"
 )
 
+// Settings are the file's contents.
 type Settings struct {
 	Node         string     `json:"node" validate:"required,max=100"`
 	Domain       string     `json:"domain" validate:"required,max=100"`
@@ -25,17 +26,20 @@
 	Deployment   Deployment `json:"deployment"`
 }
 
+// Peer is another controller of the deployment.
 type Peer struct {
 	Node     string `json:"node" validate:"required"`
 	Domain   string `json:"domain"`
 	PeerAddr string `json:"peer_addr" validate:"required,ipv4port"`
 }
 
+// Outside has the addresses of the systems that controllers use.
 type Outside struct {
 	Cloud string `json:"cloud" validate:"required,ipv4port"`
 	State string `json:"state" validate:"required,ipv4port"`
 }
 
+// Deployment is what all controllers of a deployment have in common.
 type Deployment struct {
 	InitialSize   int           `json:"initial_size" validate:"gte=1"`
 	Zones         []string      `json:"zones"`
@@ -57,6 +61,7 @@
 	GpusMax float64 `json:"gpus_max" validate:"gte=0"`
 }
 
+// Objective is one of the users' aims for a class of jobs.
 type Objective struct {
 	Kind    string  `json:"kind" validate:"required"`
 	Class   string  `json:"class"`
@@ -66,6 +71,7 @@
 	Times float64 `json:"times" validate:"gte=0"`
 }
 
+// Workers has the times by which machines and their tasks are run.
 type Workers struct {
 	ReportS   float64 `json:"report_s" validate:"gt=0"`
 	LeaseS    float64 `json:"lease_s" validate:"gt=0"`
@@ -74,6 +80,7 @@
 	CancelS   float64 `json:"cancel_s" validate:"gtfield=LeaseS"`
 }
 
+// State has the limits of the state service, shared by all controllers.
 type State struct {
 	Rps      float64 `json:"rps" validate:"gt=0"`
 	WriteRps float64 `json:"write_rps" validate:"gt=0"`
@@ -81,19 +88,26 @@
 	TxnOps   int     `json:"txn_ops" validate:"gte=1"`
 }
 
+// Cloud has the limits of the rental interface.
 type Cloud struct {
 	Rps      float64 `json:"rps" validate:"gt=0"`
 	ListLagS float64 `json:"list_lag_s" validate:"gte=0"`
 }
 
+// MachineLimits are those of the machine that a controller runs on.
 type MachineLimits struct {
 	CPU        float64 `json:"cpu" validate:"gt=0"`
 	MemoryMb   float64 `json:"memory_mb" validate:"gt=0"`
 	MaxSockets int     `json:"max_sockets" validate:"gt=0"`
 }
 
-func (w Workers) Lease() clock.Micros    { return clock.FromSeconds(w.LeaseS) }
-func (w Workers) Report() clock.Micros   { return clock.FromSeconds(w.ReportS) }
+// Lease is how long a worker keeps its tasks after its last answered report.
+func (w Workers) Lease() clock.Micros { return clock.FromSeconds(w.LeaseS) }
+
+// Report is the mean time between two reports of a worker.
+func (w Workers) Report() clock.Micros { return clock.FromSeconds(w.ReportS) }
+
+// GangPeer is the time in which the tasks of a gang notice the loss of one.
 func (w Workers) GangPeer() clock.Micros { return clock.FromSeconds(w.GangPeerS) }
 
 // KeepAlive is how long a leader may go on answering workers after the moment up to
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -43,6 +43,7 @@
 // before the leader's, and those before reads.
 type Use int
 
+// The uses, the most urgent first.
 const (
 	ForLeadership Use = iota
 	ForUser
--- a/internal/testkit/state.go
+++ b/internal/testkit/state.go
@@ -50,6 +50,7 @@
 	Page int
 }
 
+// NewState is an empty service.
 func NewState(w *World) *State {
 	// Both are small, so that followers have to read again and lists have pages.
 	return &State{w: w, keys: map[string]entry{}, leases: map[int64]*lease{}, Kept: 12, Page: 7}
--- a/internal/testkit/world.go
+++ b/internal/testkit/world.go
@@ -43,6 +43,7 @@
 	Broken []string
 }
 
+// NewWorld begins at one second, with the given seed.
 func NewWorld(seed uint64) *World {
 	return &World{now: clock.Second, Rand: rand.New(rand.NewPCG(seed, 0x70707473))}
 }
@@ -69,6 +70,7 @@
 	w.now = until
 }
 
+// Now is the simulated time.
 func (w *World) Now() clock.Micros { return w.now }
 
 // Break notes a broken rule.
@@ -149,12 +151,19 @@
 	})
 }
 
-// Steady, OfDay, Post and After make the process a mailbox.
+// Steady is the process's steady clock. With OfDay, Post and After it makes the
+// process a mailbox.
 func (p *Process) Steady() clock.Micros {
 	return clock.Second + clock.Micros(float64(p.w.now-p.start)*p.drift)
 }
+
+// OfDay is the true time.
 func (p *Process) OfDay() clock.Micros { return p.w.now }
+
+// Post handles a message as soon as the process runs.
 func (p *Process) Post(message func()) { p.After(0, message) }
+
+// After handles a message later, if the process is alive then.
 func (p *Process) After(d clock.Micros, message func()) {
 	p.w.After(d, func() { p.run(message) })
 }
