--- a/internal/intake/persistent.go
+++ b/internal/intake/persistent.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,8 +43,8 @@
 var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, 2<<10) }}
 
 // takeOver serves the requests that follow the present one on its connection. The
-// present one must have been answered in full. It leaves the connection to http.Server
-// if that isn't the one that read the request, or if more has come already.
+// present one must have been answered in full. It leaves the connection to whoever read
+// the request if that isn't http.Server.
 func takeOver(w http.ResponseWriter, r *http.Request, handler http.Handler, idle time.Duration) {
 	conn, ok := r.Context().Value(connectionKey{}).(*connection)
 	if !ok || r.Close || conn.takenOver {
@@ -58,13 +59,18 @@
 		return
 	}
 	conn.takenOver = true
-	if buffered.Reader.Buffered() > 0 {
-		_ = raw.Close() // requests are sent without pipelining
+	// The next request may have come since the answer left.
+	early, err := buffered.Peek(buffered.Reader.Buffered())
+	if err != nil {
+		_ = raw.Close()
 		return
 	}
 	p := &persistentConnection{conn: conn, handler: handler, idle: idle,
 		context: known(context.Background(), conn), answer: bufferedResponse{header: http.Header{}}}
 	p.limited.R = conn
+	if len(early) > 0 {
+		p.limited.R = io.MultiReader(bytes.NewReader(slices.Clone(early)), conn)
+	}
 	p.reader = bufio.NewReaderSize(&p.limited, readBuffer)
 	go p.serve()
 }
--- a/internal/intake/persistent_test.go
+++ b/internal/intake/persistent_test.go
@@ -96,6 +96,26 @@
 	}
 }
 
+// A request that comes before the connection has been taken over isn't lost.
+func TestEarlyRequestsAreAnswered(t *testing.T) {
+	_, c := reportServer(t, 6)
+	for range 50 {
+		conn, err := net.Dial("tcp4", c.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		first := request("POST", "/agent/beat", "", protocol.Encode(protocol.Report{Machine: "m-1", Address: "a:1", Shift: 1}))
+		reader := bufio.NewReader(conn)
+		both := exchange(conn, reader, first+request("GET", "/api/jobs/job-000001", "", nil))
+		_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+		if next, err := http.ReadResponse(reader, nil); err != nil || next.StatusCode != http.StatusNotFound {
+			t.Fatalf("after %s: %v, %v", both, next, err)
+		}
+		conn.Close()
+	}
+}
+
 // Bodies and headers without end are cut off, and so is a request that trickles in.
 func TestTakenOverConnectionsAreBounded(t *testing.T) {
 	_, c := reportServer(t, 6)
