--- a/internal/protocol/reportdecoder_test.go
+++ b/internal/protocol/reportdecoder_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -28,6 +29,8 @@
 			switch r.IntN(8) {
 			case 0:
 				last.Tasks = sampleReport(r.IntN(5)).Tasks
+			case 3, 4:
+				last.Tasks = shuffled(r, last.Tasks)
 			case 1:
 				last.Epoch = r.Int64N(300)
 			case 2:
@@ -56,6 +59,26 @@
 	}
 }
 
+// shuffled is a list of tasks some of which have gone, changed, come or moved.
+func shuffled(r *rand.Rand, tasks []TaskReport) []TaskReport {
+	tasks = slices.Clone(tasks)
+	for range 1 + r.IntN(2) {
+		at := r.IntN(len(tasks) + 1)
+		switch {
+		case r.IntN(3) == 0:
+			tasks = slices.Insert(tasks, at, TaskReport{Task: TaskName("job-000002", r.IntN(9)), Try: 2, Status: TaskFetching})
+		case at == len(tasks):
+		case r.IntN(2) == 0:
+			tasks = slices.Delete(tasks, at, at+1)
+		case r.IntN(2) == 0:
+			tasks[at].Status, tasks[at].Cause = TaskExited, CauseDone
+		default:
+			tasks[0], tasks[at] = tasks[at], tasks[0]
+		}
+	}
+	return tasks
+}
+
 // A report without news costs little however many tasks it has.
 func TestReportWithoutNewsAllocatesLittle(t *testing.T) {
 	for _, tasks := range []int{0, 8, 60} {
@@ -72,6 +95,20 @@
 	}
 }
 
+// One of eight tasks has ended.
+func BenchmarkReportWithNews(b *testing.B) {
+	r := sampleReport(8)
+	var d ReportDecoder
+	raws := [][]byte{Encode(r), nil}
+	r.Tasks[3].Status, r.Tasks[3].Cause = TaskExited, CauseDone
+	raws[1] = Encode(r)
+	b.ReportAllocs()
+	for b.Loop() {
+		raws[0], raws[1] = raws[1], raws[0]
+		_, _ = d.Decode(raws[0])
+	}
+}
+
 func BenchmarkReportWithoutNews(b *testing.B) {
 	r := sampleReport(8)
 	var d ReportDecoder
