Direct commands take a connection of their own; overheads are computed for evictions only

Causes, from the loopback profile: a pooled connection to a worker costs two goroutines, two buffers and a place among 64, and with hundreds of machines is closed before it is used again (a tenth of the leader's time, with the state service's); what stopping each running task would lose was computed in each plan though no job could make another yield.

A command is written and read by net/http on a connection of its own, whose time is looked at once more after dialling. 64 sockets more are left for workers and users.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -24,23 +24,14 @@
 
 // Sockets is how many connections the client has at the most. There are as many
 // addresses as machines, and most of them are also connected by their reports.
-const Sockets = calling + idle
+const Sockets = 48
 
-const (
-	calling  = 48
-	idle     = 64
-	idleTime = 10 * clock.Second
-)
-
-// Client is the process's pool of connections to workers.
-type Client struct {
-	calls *transport.Client
-	slots chan struct{}
-}
+// Client bounds the process's connections to workers.
+type Client struct{ slots chan struct{} }
 
 // New makes a client without connections.
 func New() *Client {
-	return &Client{transport.New(1, idle, idleTime), make(chan struct{}, calling)}
+	return &Client{make(chan struct{}, Sockets)}
 }
 
 // For gives the interface whose answers arrive in the given mailbox.
@@ -57,7 +48,7 @@
 		b.slots <- struct{}{}
 		defer func() { <-b.slots }()
 		var r protocol.Report
-		status, raw, err := b.calls.CallUntil(b.mailbox, until, http.MethodPost, "http://"+addr+"/commands", body, timeout, limit)
+		status, raw, err := transport.Once(b.mailbox, until, http.MethodPost, "http://"+addr+"/commands", body, timeout, limit)
 		if err == nil && (status == http.StatusOK || status == http.StatusConflict) {
 			err = protocol.Decode(raw, &r)
 		}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -256,6 +256,7 @@
 	}
 	d.views = s.Machines
 	limit := int(d.set.Deployment.State.ValueKb * 1024)
+	evictions := d.evictionsPossible()
 	for _, j := range inOrder(d.jobs) {
 		team := s.Teams[j.Spec.Team]
 		needs := planner.Needs(&j.Spec)
@@ -286,7 +287,7 @@
 		if len(pj.Pending) == 0 {
 			j.returning = false
 		}
-		pj.Running = d.runningTasks(j, now)
+		pj.Running = d.runningTasks(j, now, evictions)
 		s.Jobs = append(s.Jobs, pj)
 	}
 	d.markWithin(&s)
@@ -487,7 +488,7 @@
 // runningTasks shows the planner what a job has placed. What stopping a task
 // loses is the time since the last checkpoint that its interval implies, or all
 // of it where it declares none.
-func (d *Dispatch) runningTasks(j *job, now clock.Micros) []planner.Running {
+func (d *Dispatch) runningTasks(j *job, now clock.Micros, evictions bool) []planner.Running {
 	if j.runningStale {
 		j.runningStale = false
 		j.running, j.runningSince = j.running[:0], j.runningSince[:0]
@@ -503,6 +504,9 @@
 			j.running, j.runningSince = append(j.running, r), append(j.runningSince, since)
 		}
 	}
+	if !evictions {
+		return j.running
+	}
 	for i, since := range j.runningSince {
 		r := &j.running[i]
 		r.Overhead, r.Borrowed = 0, false
@@ -516,6 +520,21 @@
 	return j.running
 }
 
+// evictionsPossible tells that some job could make another yield: what stopping tasks
+// would lose is worth computing only then, thousands of times in each plan.
+func (d *Dispatch) evictionsPossible() bool {
+	for _, t := range d.set.Deployment.Teams {
+		if t.Cpus > 0 || t.Gpus > 0 {
+			return true
+		}
+	}
+	ranks := map[string]bool{}
+	for _, j := range d.jobs {
+		ranks[j.Spec.Rank] = true
+	}
+	return len(ranks) > 1
+}
+
 // markWithin marks the jobs that fit into their teams' guarantees together with
 // the teams' earlier ones.
 func (d *Dispatch) markWithin(s *planner.Snapshot) {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -3,6 +3,7 @@
 package transport
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -23,7 +24,7 @@
 // New bounds the connections to any one address, and how many are kept idle to
 // all addresses together and for how long.
 func New(perHost, idle int, idleTime clock.Micros) *Client {
-	dialer := &net.Dialer{Timeout: 1500 * time.Millisecond}
+	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{&http.Client{
 		Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
@@ -53,6 +54,67 @@
 	return c.Call(method, url, body, timeout, limit)
 }
 
+// Once makes one request on a connection of its own, unless it is too late for it. It is
+// for systems that are so many that a kept connection is hardly ever used again: a pool
+// costs two goroutines, two buffers and a place for each.
+func Once(now clock.Clock, until clock.Micros, method, url string, body []byte, timeout clock.Micros, limit int64) (int, []byte, error) {
+	if now.Steady() >= until {
+		return NotSent, nil, nil
+	}
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Header.Set("Content-Type", contentType)
+	req.Close = true
+	// Connections this short need no probes.
+	dialer := net.Dialer{Deadline: time.Now().Add(min(dialTimeout, timeout.Duration())), KeepAlive: -1}
+	conn, err := dialer.Dial("tcp4", req.URL.Host)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(timeout.Duration())); err != nil {
+		return 0, nil, err
+	}
+	// It may have waited for the connection, or the process may have stood still.
+	if now.Steady() >= until {
+		return NotSent, nil, nil
+	}
+	var whole bytes.Buffer // leaves in one piece
+	if err := req.Write(&whole); err != nil {
+		return 0, nil, err
+	}
+	if _, err := conn.Write(whole.Bytes()); err != nil {
+		return 0, nil, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReaderSize(conn, answerBuffer), req)
+	if err != nil {
+		return 0, nil, err
+	}
+	return readAnswer(resp, limit)
+}
+
+const (
+	contentType = "application/msgpack"
+	dialTimeout = 1500 * time.Millisecond
+	// answerBuffer holds most answers of workers.
+	answerBuffer = 2 << 10
+)
+
+// readAnswer takes an answer whole, unless it is beyond the limit.
+func readAnswer(resp *http.Response, limit int64) (int, []byte, error) {
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return 0, nil, err
+	}
+	if int64(len(raw)) > limit {
+		return 0, nil, ErrTooLarge
+	}
+	return resp.StatusCode, raw, nil
+}
+
 // Call makes one request. An error means that no whole answer came: the
 // request may or may not have been carried out.
 func (c *Client) Call(method, url string, body []byte, timeout clock.Micros, limit int64) (int, []byte, error) {
@@ -63,7 +125,7 @@
 		return 0, nil, err
 	}
 	if body != nil {
-		req.Header.Set("Content-Type", "application/msgpack")
+		req.Header.Set("Content-Type", contentType)
 	}
 	// Without this, net/http would send a request again by itself when a kept
 	// connection turns out to be closed; what may have been carried out is for
@@ -73,13 +135,5 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
-		return 0, nil, err
-	}
-	if int64(len(raw)) > limit {
-		return 0, nil, ErrTooLarge
-	}
-	return resp.StatusCode, raw, nil
+	return readAnswer(resp, limit)
 }
