--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -185,14 +185,18 @@
 	settled               bool
 	shift, counter, epoch int64
 	tasks                 map[taskRef]protocol.TaskReport
-	reported              []protocol.TaskReport    // what tasks was made from
-	since                 map[taskRef]clock.Micros // when a task was first seen running
-	heardAt, answeredAt   clock.Micros
-	shiftAt               clock.Micros // when its present shift was first heard of
-	recallAt              clock.Micros // when the cloud takes it; 0: not announced
-	beatShift             int64
-	beatCounter           int64
-	expired               bool // its lease has surely ended: only a newer shift counts
+	reported              []protocol.TaskReport // what tasks was made from
+	// ended counts the tasks that are only to be forgotten, since the last report with
+	// news; forgetAt is when they are at the latest.
+	ended               int
+	forgetAt            clock.Micros
+	since               map[taskRef]clock.Micros // when a task was first seen running
+	heardAt, answeredAt clock.Micros
+	shiftAt             clock.Micros // when its present shift was first heard of
+	recallAt            clock.Micros // when the cloud takes it; 0: not announced
+	beatShift           int64
+	beatCounter         int64
+	expired             bool // its lease has surely ended: only a newer shift counts
 	// unheeding machines report, but lose one session after the other though they
 	// are answered: answers don't reach them.
 	unheeding    bool
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -333,6 +333,58 @@
 	}
 }
 
+// Ended tasks are forgotten several at a time, with other orders, or after a while: each
+// forgotten one makes its worker report again.
+func TestEndedTasksAreForgottenTogether(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		ended     int
+		other     bool // something else is ordered
+		after     clock.Micros
+		forgotten int
+	}{
+		{"one", 1, false, 0, 0},
+		{"one, with another order", 1, true, 0, 1},
+		{"one, after a while", 1, false, forgetDelay, 1},
+		{"a batch", forgetBatch, false, 0, forgetBatch},
+	} {
+		d, j, r := eightRunning()
+		box := d.mailbox.(*actortest.Still)
+		beat := func() (forgotten int) {
+			r.Counter++
+			r.Tasks = slices.Clone(r.Tasks)
+			d.Beat(r, func(_ int, body any) {
+				for _, o := range body.(protocol.BeatAnswer).Orders {
+					if o.Verb == protocol.VerbForget {
+						forgotten++
+					}
+				}
+			})
+			return forgotten
+		}
+		for i := range c.ended {
+			r.Tasks[i].Status, r.Tasks[i].Cause = protocol.TaskExited, protocol.CauseDone
+		}
+		if n := beat(); n > 0 {
+			t.Errorf("%s: %d forgotten before their ends are durable", c.name, n)
+		}
+		j.durable = j.changed
+		if c.other {
+			j.stops[7] = stop{why: "room"}
+		}
+		for waited := clock.Micros(0); waited < c.after; waited += clock.Second {
+			if n := beat(); n > 0 {
+				t.Errorf("%s: %d forgotten after %v s", c.name, n, waited.Seconds())
+			}
+			box.Now += clock.Second
+			d.freshAt, d.term.ValidUntil = box.Now, box.Now+clock.Second
+		}
+		if n := beat(); n != c.forgotten {
+			t.Errorf("%s: %d forgotten, not %d", c.name, n, c.forgotten)
+		}
+	}
+}
+
 // Among jobs that are to start, the time left to the next aim counts, the last
 // being the four minutes in which every job is to begin; what must start sooner
 // than a machine boots keeps its order.
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -146,7 +146,7 @@
 		return
 	}
 	clear(m.tasks)
-	m.reported = r.Tasks
+	m.reported, m.ended = r.Tasks, 0
 	for _, t := range r.Tasks {
 		id, task, ok := protocol.ParseTask(t.Task)
 		if !ok {
@@ -521,7 +521,15 @@
 			}
 		}
 	}
-	var loose []taskRef // what is there and in no record
+	return append(orders, d.looseOrders(m, beat, len(orders) > 0)...)
+}
+
+// looseOrders stops and forgets what is on a machine and in no record. Each forgotten
+// task is a change that the worker reports at once, and most of what a strained leader
+// is told: tasks that have ended are forgotten several at a time, with other orders, or
+// after a while.
+func (d *Dispatch) looseOrders(m *machine, beat, others bool) []protocol.Order {
+	var loose []taskRef
 	for ref, t := range m.tasks {
 		j := d.jobs[ref.job]
 		if d.unreadable[ref.job] || j != nil && j.over() && t.Status != protocol.TaskExited {
@@ -532,6 +540,8 @@
 		}
 	}
 	slices.SortFunc(loose, compareRefs)
+	var orders, forgets []protocol.Order
+	m.ended = 0
 	for _, ref := range loose {
 		t, j := m.tasks[ref], d.jobs[ref.job]
 		name := protocol.TaskName(ref.job, ref.task)
@@ -540,14 +550,31 @@
 			orders = append(orders, protocol.Order{Verb: protocol.VerbStop, Task: name, Try: ref.try})
 			continue
 		}
+		m.ended++
 		if beat && (j == nil || j.clean()) && !d.mayArrive(m, ref) && !d.mayRepeat(m, ref, t) {
 			// The outcome is durable and no start can bring the try back.
-			orders = append(orders, protocol.Order{Verb: protocol.VerbForget, Task: name, Try: ref.try})
+			forgets = append(forgets, protocol.Order{Verb: protocol.VerbForget, Task: name, Try: ref.try})
 		}
 	}
+	if !beat || m.ended == 0 {
+		return orders
+	}
+	now := d.now()
+	if m.forgetAt == 0 {
+		m.forgetAt = now + forgetDelay
+	}
+	if others || len(orders) > 0 || len(forgets) >= forgetBatch || now >= m.forgetAt {
+		m.forgetAt = now + forgetDelay
+		return append(orders, forgets...)
+	}
 	return orders
 }
 
+const (
+	forgetBatch = 4
+	forgetDelay = 8 * clock.Second
+)
+
 // asOrdered tells that a machine runs exactly what it is to run, so that there is
 // nothing to order: most reports are such, and sorting what is placed only to find that
 // out was a tenth of a leader's time.
@@ -563,8 +590,9 @@
 		}
 		placed += len(tasks)
 	}
-	// All that is placed was reported: as many tasks as that are those and no others.
-	return placed == len(m.tasks)
+	// All that is placed was reported: as many tasks as that are those and no others, but
+	// for some that are to be forgotten later.
+	return placed+m.ended == len(m.tasks) && (m.ended == 0 || m.ended < forgetBatch && d.now() < m.forgetAt)
 }
 
 // pushOrders sends what is due directly, without waiting for the next report.
