Machines that are too small are refused by name, at start and by check

cpu, memory_mb and max_sockets each have a least, derived from what the process holds; the error names the field, its value and that least. A limit of sockets that left nothing after the process's own was silently raised before.

--- a/cmd/postpoint/main.go
+++ b/cmd/postpoint/main.go
@@ -48,8 +48,20 @@
 	}
 }
 
+// loadSettings reads a settings file and refuses machines that are too small.
+func loadSettings(file string) (*settings.Settings, error) {
+	s, err := settings.Load(file)
+	if err != nil {
+		return nil, err
+	}
+	if err := controller.CheckLimits(s.Deployment.MachineLimits); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return s, nil
+}
+
 func (c *checkCommand) Run() error {
-	s, err := settings.Load(c.Config)
+	s, err := loadSettings(c.Config)
 	if err != nil {
 		return err
 	}
@@ -59,7 +71,7 @@
 }
 
 func (c *serveCommand) Run() error {
-	s, err := settings.Load(c.Config)
+	s, err := loadSettings(c.Config)
 	if err != nil {
 		return err
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -39,14 +39,39 @@
 	// reservedSockets are left of the machine's limit for what this process connects
 	// to and for its peers: neither workers nor users can lock out the state service.
 	reservedSockets = agent.Sockets + 2*peer.Sockets + 64
-	// minClientConnections are accepted whatever the limit is.
+	// minClientConnections is the least with which users, health checks and a few workers
+	// are served side by side.
 	minClientConnections = 64
+	// MinSockets and MinMemoryMB are the least that a controller runs with. An idle one
+	// holds some 16 MB; each client connection takes about 20 kB while it is served.
+	MinSockets  = reservedSockets + minClientConnections
+	MinMemoryMB = 24
+	// MinCPU is the least part of a core with which renewals keep their pace: a renewal
+	// and what it brings take well below a millisecond, and there is one every 0.8 s.
+	MinCPU = 0.005
 	// heapShare of the memory limit is the collector's; the rest is for stacks, the C
 	// library and the binary.
 	heapShare = 0.75
 	gcPercent = 300
 )
 
+// CheckLimits refuses a machine that is too small to run a controller at all.
+func CheckLimits(l settings.MachineLimits) error {
+	for _, x := range []struct {
+		field        string
+		value, least float64
+	}{
+		{"cpu", l.CPU, MinCPU},
+		{"memory_mb", l.MemoryMb, MinMemoryMB},
+		{"max_sockets", float64(l.MaxSockets), MinSockets},
+	} {
+		if x.value < x.least {
+			return fmt.Errorf("deployment.machine_limits.%s: %v is too small, at least %v is needed", x.field, x.value, x.least)
+		}
+	}
+	return nil
+}
+
 // ApplyLimits fits the Go runtime to the machine: with a part of one core, more
 // threads would only take turns on it.
 func ApplyLimits(l settings.MachineLimits) {
@@ -103,5 +128,5 @@
 // clientConnections is how many connections of users, workers and health checks the
 // machine has sockets for.
 func clientConnections(l settings.MachineLimits) int {
-	return max(l.MaxSockets-reservedSockets, minClientConnections)
+	return l.MaxSockets - reservedSockets
 }
--- a/internal/controller/loopback_test.go
+++ b/internal/controller/loopback_test.go
@@ -94,6 +94,10 @@
 		playStandIns(shape)
 		return
 	}
+	if raw := os.Getenv(controllerVariable); raw != "" {
+		runAlone(raw)
+		return
+	}
 	os.Exit(m.Run())
 }
 
