--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -114,6 +114,7 @@
 
 	usersBox := actor.New(machineClock)
 	users = intake.New(usersBox, state.For(usersBox), s, peer.NewForwarder(peers, usersBox).Forward)
+	users.RefuseWhen(memoryFull(s.Deployment.MachineLimits.MemoryMb))
 
 	dispatcher.Start()
 	leader.Start()
--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -50,6 +50,16 @@
 	}
 }
 
+// The limit is compared with what the process really holds.
+func TestMemoryIsMeasured(t *testing.T) {
+	if memoryFull(1e6)() {
+		t.Error("a terabyte is full")
+	}
+	if !memoryFull(1)() {
+		t.Error("a megabyte isn't full")
+	}
+}
+
 // With the least of memory and sockets a controller starts, answers on as many
 // connections as it has sockets for, and stays within both.
 func TestLeastMachineSuffices(t *testing.T) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -53,6 +53,8 @@
 	set     *settings.Settings
 	forward Forward
 	types   []protocol.MachineType
+	// memoryFull tells that new jobs have to wait.
+	memoryFull func() bool
 	// finals are final states that may be told from memory: they never change.
 	finals map[string]protocol.JobStatus
 	// badUntil is until when the state service is taken not to serve this node.
@@ -79,10 +81,15 @@
 
 // New makes the actor; forward passes requests on that the state service doesn't serve here.
 func New(m actor.Mailbox, s statestore.Store, set *settings.Settings, forward Forward) *Intake {
-	return &Intake{mailbox: m, store: s, set: set, forward: forward, finals: map[string]protocol.JobStatus{},
+	return &Intake{mailbox: m, store: s, set: set, forward: forward, memoryFull: func() bool { return false }, finals: map[string]protocol.JobStatus{},
 		began: m.Steady(), told: map[string]clock.Micros{}}
 }
 
+// RefuseWhen makes new jobs wait while the process is near the limit of its memory: it
+// would be killed, and what it was doing with it. It is called before the first request,
+// and full from the actor.
+func (in *Intake) RefuseWhen(full func() bool) { in.memoryFull = full }
+
 // Types is told of each new catalogue.
 func (in *Intake) Types(types []protocol.MachineType) {
 	types = slices.Clone(types)
@@ -305,6 +312,8 @@
 	case len(c.in.types) == 0:
 		// Known jobs are recognised all the same.
 		status, why = http.StatusServiceUnavailable, "the machine types are not known yet"
+	case c.in.memoryFull():
+		status, why = http.StatusServiceUnavailable, "the controller's memory is full"
 	default:
 		if why = neverRuns(&spec, &c.in.set.Deployment, c.in.types); why != "" {
 			status = http.StatusUnprocessableEntity
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -11,11 +11,65 @@
 
 	"postpoint/internal/actor/actortest"
 	"postpoint/internal/clock"
+	"postpoint/internal/ledger"
 	"postpoint/internal/protocol"
 	"postpoint/internal/settings"
 	"postpoint/internal/statestore"
 )
 
+// holding is a state service that has one record.
+type holding struct {
+	statestore.Store
+	key   string
+	value []byte
+}
+
+func (h holding) Get(key string, done func(statestore.Reply[protocol.Item])) {
+	if key != h.key {
+		done(statestore.Reply[protocol.Item]{Status: http.StatusNotFound})
+		return
+	}
+	done(statestore.Reply[protocol.Item]{Status: http.StatusOK, Value: protocol.Item{Key: key, Value: h.value, Version: 1}})
+}
+
+// With its memory full a node takes no new jobs and says when to come back; what is
+// known is answered as ever.
+func TestNewJobsWaitWhileMemoryIsFull(t *testing.T) {
+	set := &settings.Settings{}
+	set.Deployment.Teams = []settings.Team{{Name: "vision"}}
+	raw, err := msgpack.Marshal(submission())
+	if err != nil {
+		t.Fatal(err)
+	}
+	spec, err := parseSpec(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, known := range []bool{false, true} {
+		store := holding{}
+		if known {
+			store.key, store.value = ledger.Key(spec.ID), ledger.New(spec, 1).Encode()
+		}
+		in := New(&actortest.Still{Now: 20 * clock.Second}, store, set, nil)
+		in.Types([]protocol.MachineType{{Name: "g8", Cpus: 96, Gpus: 8, MemoryGB: 768, Zones: []string{"a"}}})
+		in.RefuseWhen(func() bool { return true })
+		for _, r := range []Request{{Kind: Submit, Body: raw}, {Kind: Show, ID: spec.ID}} {
+			var got Answer
+			in.Handle(r, func(a Answer) { got = a })
+			want := http.StatusOK
+			switch {
+			case !known && r.Kind == Submit:
+				want = http.StatusServiceUnavailable
+			case !known:
+				want = http.StatusNotFound
+			}
+			if got.Status != want || (got.RetryS > 0) != (want == http.StatusServiceUnavailable) {
+				t.Errorf("known %v, kind %d: %d, retry after %d s", known, r.Kind, got.Status, got.RetryS)
+			}
+		}
+	}
+}
+
 // down is a state service that refuses everything.
 type down struct{ statestore.Store }
 
