Test: six hundred machines on controllers whose processor is short

Processes of the simulated world may charge each message; leases, submissions and a takeover keep to stated limits at 2 ms a message.

--- a/internal/testkit/deployment.go
+++ b/internal/testkit/deployment.go
@@ -19,19 +19,20 @@
 
 // Job is a user's job and what its user was told.
 type Job struct {
-	spec      protocol.JobSpec
-	run       clock.Micros
-	mistaken  bool
-	accepted  bool
-	told      string // the last final state
-	cancelled clock.Micros
-	wantsEnd  bool
-	heardAt   clock.Micros // when its user last got an answer
-	idleAt    clock.Micros // when it last ran, or couldn't have: see WatchRoom
-	submitted clock.Micros
-	began     clock.Micros // when its first task had its image
-	gone      map[int]bool // completed tasks
-	places    map[int]map[*Worker]bool
+	spec       protocol.JobSpec
+	run        clock.Micros
+	mistaken   bool
+	accepted   bool
+	told       string // the last final state
+	cancelled  clock.Micros
+	wantsEnd   bool
+	heardAt    clock.Micros // when its user last got an answer
+	idleAt     clock.Micros // when it last ran, or couldn't have: see WatchRoom
+	submitted  clock.Micros
+	acceptedAt clock.Micros
+	began      clock.Micros // when its first task had its image
+	gone       map[int]bool // completed tasks
+	places     map[int]map[*Worker]bool
 }
 
 func (j *Job) needs() planner.Amounts { return planner.Needs(&j.spec) }
@@ -81,6 +82,8 @@
 	byAddr      map[string]*Worker
 	used        map[string]planner.Amounts // by team, on machines
 	Commands    int                        // direct ones
+	// Cost is what a message costs in each process that starts: see Process.
+	Cost clock.Micros
 	// address gives a new worker its address.
 	address func(name string) string
 }
@@ -124,6 +127,7 @@
 		return
 	}
 	p := d.World.process()
+	p.Cost = d.Cost
 	n.proc = p
 	n.runs++
 	set := *d.Settings
@@ -247,6 +251,9 @@
 		case http.StatusCreated, http.StatusOK:
 			first := !j.accepted
 			j.accepted = true
+			if first {
+				j.acceptedAt = d.World.now
+			}
 			d.told(j, before, s)
 			if first {
 				d.poll(j)
--- a/internal/testkit/scale_test.go
+++ b/internal/testkit/scale_test.go
@@ -163,3 +163,74 @@
 	}
 	d.mustHaveUsed(t, used{changes: 2600, requests: 5500, calls: 1100, plans: 3500, commands: 5700})
 }
+
+// Six hundred machines on controllers whose processor is short: each message takes 2 ms,
+// half of it for reports alone while nothing happens. A burst of jobs comes, and the
+// leader ends with all of them at work. No reachable worker loses its lease, submissions
+// are accepted within two seconds, and the next leader has heard of every machine, and
+// has work started, within 15 s of the end.
+func TestSmallControllersKeepLeases(t *testing.T) {
+	t.Parallel()
+	w := NewWorld(19)
+	set := testSettings()
+	set.Deployment.Workers = settings.Workers{ReportS: 2.5, LeaseS: 16, GangWaitS: 40, GangPeerS: 5, CancelS: 36}
+	set.Deployment.State = settings.State{Rps: 100, WriteRps: 30, ValueKb: 32, TxnOps: 12}
+	set.Deployment.MachineLimits.CPU = 0.05
+	d := NewDeployment(w, set, testTypes(), 0)
+	d.State.Kept, d.State.Page = 10_000, 500
+	d.Cloud.Reliable = true
+	d.Cloud.Capacity = map[fleet.Kind]int{{Type: "small", Zone: "a"}: 400, {Type: "small", Zone: "b"}: 200}
+	d.Cost = 2 * clock.Millisecond
+	for _, n := range d.Nodes {
+		n.proc.Cost = d.Cost
+	}
+	submit := func(tasks int, run clock.Micros) {
+		d.Submit(protocol.JobSpec{ID: fmt.Sprintf("job-%06d", len(d.order)), Class: "c", Team: "open", Shape: protocol.ShapeArray,
+			Rank: "normal", Tasks: tasks, Cpus: 2, MemoryGB: 1, Image: "i", EstimateS: run.Seconds()}, run, false)
+	}
+	for i := range clock.Micros(5) {
+		w.After(i*clock.Second, func() { submit(400, 120*clock.Second) })
+	}
+	for i := range clock.Micros(40) { // ten a second, of which the state service takes 30
+		w.After(60*clock.Second+i*100*clock.Millisecond, func() { submit(8, 40*clock.Second) })
+	}
+	const end = 90 * clock.Second
+	w.After(end, func() {
+		if up := len(d.Workers()); up < 550 {
+			t.Errorf("only %d machines are up", up)
+		}
+		old := d.Nodes[leading(t, d)]
+		old.Crash()
+		w.After(6*clock.Second, func() { d.StartNode(old) })
+	})
+	w.After(end+15*clock.Second, func() {
+		heir := d.Nodes[leading(t, d)]
+		heard := 0
+		for _, m := range d.Workers() {
+			if heir.Dispatch.Knows(m.name) && m.epoch > 1 {
+				heard++
+			}
+		}
+		if all := len(d.Workers()); heard < all {
+			t.Errorf("the next leader has answered %d of %d machines after 15 s", heard, all)
+		}
+		submit(10, 20*clock.Second)
+	})
+	w.Run(400 * clock.Second)
+	if left := d.Unfinished(); len(w.Broken) > 0 || len(left) > 0 {
+		t.Fatalf("broken %v, accepted but not done %v", w.Broken[:min(len(w.Broken), 5)], left)
+	}
+	for _, m := range d.Cloud.all {
+		if m.shift > 1 {
+			t.Errorf("%s lost its lease", m.name)
+		}
+	}
+	for _, j := range d.order {
+		if took := j.acceptedAt - j.submitted; took > 2*clock.Second {
+			t.Errorf("%s was accepted after %.1f s", j.spec.ID, took.Seconds())
+		}
+	}
+	if last := d.order[len(d.order)-1]; last.began-last.submitted > 30*clock.Second {
+		t.Errorf("a job submitted to the next leader began after %.1f s", (last.began - last.submitted).Seconds())
+	}
+}
--- a/internal/testkit/world.go
+++ b/internal/testkit/world.go
@@ -92,6 +92,10 @@
 	alive bool
 	start clock.Micros
 	drift float64
+	// Cost is what handling a message takes, one after another, if the processor is to be
+	// short; busyUntil is when those that have come are handled.
+	Cost      clock.Micros
+	busyUntil clock.Micros
 	// While it stands still its clocks run on, and what would happen in it waits.
 	still   bool
 	waiting []func()
@@ -121,6 +125,13 @@
 	switch {
 	case p.still:
 		p.waiting = append(p.waiting, do)
+	case p.alive && p.Cost > 0:
+		p.busyUntil = max(p.busyUntil, p.w.now) + p.Cost
+		p.w.After(p.busyUntil-p.w.now, func() {
+			if p.alive {
+				do()
+			}
+		})
 	case p.alive:
 		do()
 	}
