--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -42,9 +42,10 @@
 	// minClientConnections is the least with which users, health checks and a few workers
 	// are served side by side.
 	minClientConnections = 64
-	// MinSockets and MinMemoryMB are the least that a controller runs with. An idle one
-	// holds some 16 MB; each client connection takes about 20 kB while it is served.
-	MinSockets  = reservedSockets + minClientConnections
+	// MinSockets is the least with which a controller runs.
+	MinSockets = reservedSockets + minClientConnections
+	// MinMemoryMB likewise: an idle controller holds some 13 MB, and each client connection
+	// takes about 20 kB while it is served.
 	MinMemoryMB = 24
 	// MinCPU is the least part of a core with which renewals keep their pace: a renewal
 	// and what it brings take well below a millisecond, and there is one every 0.8 s.
--- /dev/null
+++ b/internal/intake/admission.go
@@ -0,0 +1,34 @@
+package intake
+
+import (
+	"postpoint/internal/fleet"
+	"postpoint/internal/ledger"
+	"postpoint/internal/protocol"
+	"postpoint/internal/settings"
+)
+
+// neverRuns says why a job can never run, or "".
+func neverRuns(spec *protocol.JobSpec, dep *settings.Deployment, types []protocol.MachineType) string {
+	team, ok := dep.Team(spec.Team)
+	if !ok {
+		return "unknown team"
+	}
+	if spec.Types != nil && len(spec.Types) == 0 || !fleet.Fits(types, spec) {
+		return "a task fits no allowed machine type"
+	}
+	n := 1
+	if spec.Gang() {
+		n = spec.Tasks
+	}
+	k := float64(n)
+	if team.CpusMax > 0 && k*spec.Cpus > team.CpusMax || team.GpusMax > 0 && k*spec.Gpus > team.GpusMax {
+		return "needs more than the team's limit"
+	}
+	if spec.Gang() && spec.Spread && spec.Tasks > 1 && (spec.OneZone || spec.Zone != "") {
+		return "its tasks can't be both spread and in one zone"
+	}
+	if ledger.New(*spec, 0).Room(int(dep.State.ValueKb*1024)) < n {
+		return "too large to be recorded while it runs"
+	}
+	return ""
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -303,7 +303,7 @@
 }
 
 func (c *call) submit() {
-	spec, err := parseSpec(c.r.Body)
+	spec, err := protocol.DecodeSubmission(c.r.Body)
 	c.spec = spec
 	status, why := 0, ""
 	switch {
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -118,7 +118,7 @@
 
 func validReport(r *protocol.Report) bool {
 	// Names stand in records between spaces.
-	return r.Machine != "" && !strings.ContainsFunc(r.Machine, unicode.IsSpace) && len(r.Machine) <= maxText &&
+	return r.Machine != "" && !strings.ContainsFunc(r.Machine, unicode.IsSpace) && len(r.Machine) <= protocol.MaxText &&
 		r.Address != "" && r.Shift > 0
 }
 
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	spec, err := parseSpec(raw)
+	spec, err := protocol.DecodeSubmission(raw)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/intake/spec.go
+++ b/internal/protocol/submission.go
@@ -1,34 +1,31 @@
-package intake
+package protocol
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"math"
 	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
-
-	"postpoint/internal/fleet"
-	"postpoint/internal/ledger"
-	"postpoint/internal/protocol"
-	"postpoint/internal/settings"
 )
 
 const (
 	maxTasks = 100_000
-	maxText  = 200
+	// MaxText bounds names of all kinds.
+	MaxText  = 200
 	maxTypes = 64
 	// maxAmount keeps sums of amounts exact enough and times in range.
 	maxAmount = 1e9
 )
 
-// parseSpec checks a submission field by field. The id comes back whenever it
+// DecodeSubmission checks a submission field by field. The id comes back whenever it
 // is well formed, so that a repeat of an accepted job can be recognised.
-func parseSpec(raw []byte) (spec protocol.JobSpec, err error) {
-	if len(raw) > protocol.MaxBody {
-		return spec, fmt.Errorf("the body is over %d bytes", protocol.MaxBody)
+func DecodeSubmission(raw []byte) (spec JobSpec, err error) {
+	if len(raw) > MaxBody {
+		return spec, fmt.Errorf("the body is over %d bytes", MaxBody)
 	}
-	if err := protocol.Check(raw); err != nil {
+	if err := Check(raw); err != nil {
 		return spec, err
 	}
 	r := bytes.NewReader(raw)
@@ -36,18 +33,30 @@
 	dec.UseLooseInterfaceDecoding(true)
 	content, err := dec.DecodeInterface()
 	if err != nil {
-		return spec, fmt.Errorf("not MessagePack")
+		return spec, ErrMalformed
 	}
 	fields, ok := content.(map[string]any)
 	if !ok || r.Len() > 0 {
-		return spec, fmt.Errorf("not a MessagePack map with text keys")
+		return spec, errors.New("not a MessagePack map with text keys")
 	}
-	p := parser{fields: fields}
+	p := submissionParser{fields: fields}
 	spec.ID = p.text("Uid")
-	if p.err == nil && !protocol.ValidJobID(spec.ID) {
+	if p.err == nil && !ValidJobID(spec.ID) {
 		spec.ID = ""
-		return spec, fmt.Errorf("field Uid is not a job id")
+		return spec, errors.New("field Uid is not a job id")
 	}
+	p.fill(&spec)
+	return spec, p.err
+}
+
+// submissionParser reads the fields of a submission and keeps the first error.
+type submissionParser struct {
+	fields map[string]any
+	err    error
+}
+
+// fill reads all fields but the id.
+func (p *submissionParser) fill(spec *JobSpec) {
 	spec.Class = p.text("Lane")
 	spec.Team = p.text("Desk")
 	spec.Shape = p.text("Shape")
@@ -59,7 +68,7 @@
 	spec.Image = p.text("Bundle")
 	spec.ImageGB = p.amount("PullGb")
 	spec.Types = p.texts("Fleets")
-	if fields["Hall"] != nil {
+	if p.fields["Hall"] != nil {
 		spec.Zone = p.text("Hall")
 	}
 	spec.OneZone = p.flag("SamePlace")
@@ -68,44 +77,42 @@
 	spec.EstimateS = p.amount("ExpectedS")
 	spec.CheckpointS = p.amount("SnapshotS")
 	spec.SaveS = p.amount("FlushS")
-	if fields["DueS"] != nil {
+	if p.fields["DueS"] != nil {
 		due := p.amount("DueS")
 		spec.DeadlineS = &due
 	}
-	shapes := []string{protocol.ShapeArray, protocol.ShapeGang, protocol.ShapeService}
+	p.checkChoices(spec)
+}
+
+// checkChoices looks at the fields of which only some values are known.
+func (p *submissionParser) checkChoices(spec *JobSpec) {
+	shapes := []string{ShapeArray, ShapeGang, ShapeService}
 	if p.err == nil && !slices.Contains(shapes, spec.Shape) {
 		p.err = fmt.Errorf("field Shape is none of %v", shapes)
 	}
-	if p.err == nil && protocol.RankOf(spec.Rank) < 0 {
-		p.err = fmt.Errorf("field Rank is none of %v", protocol.Ranks)
+	if p.err == nil && RankOf(spec.Rank) < 0 {
+		p.err = fmt.Errorf("field Rank is none of %v", Ranks)
 	}
 	if p.err == nil && (spec.Tasks < 1 || spec.Tasks > maxTasks) {
 		p.err = fmt.Errorf("field Legs is not from 1 to %d", maxTasks)
 	}
-	return spec, p.err
-}
-
-// parser keeps the first error.
-type parser struct {
-	fields map[string]any
-	err    error
 }
 
-func (p *parser) fail(field, what string) {
+func (p *submissionParser) fail(field, what string) {
 	if p.err == nil {
 		p.err = fmt.Errorf("%s is not %s", field, what)
 	}
 }
 
-func (p *parser) text(field string) string {
+func (p *submissionParser) text(field string) string {
 	s, ok := p.fields[field].(string)
-	if !ok || s == "" || len(s) > maxText {
-		p.fail(field, fmt.Sprintf("a text of 1 to %d bytes", maxText))
+	if !ok || s == "" || len(s) > MaxText {
+		p.fail(field, fmt.Sprintf("a text of 1 to %d bytes", MaxText))
 	}
 	return s
 }
 
-func (p *parser) texts(field string) []string {
+func (p *submissionParser) texts(field string) []string {
 	value := p.fields[field]
 	if value == nil {
 		return nil
@@ -118,7 +125,7 @@
 	texts := make([]string, 0, len(list))
 	for _, e := range list {
 		s, ok := e.(string)
-		if !ok || s == "" || len(s) > maxText {
+		if !ok || s == "" || len(s) > MaxText {
 			p.fail(field, "null or a short list of texts")
 		}
 		texts = append(texts, s)
@@ -126,7 +133,7 @@
 	return texts
 }
 
-func (p *parser) flag(field string) bool {
+func (p *submissionParser) flag(field string) bool {
 	b, ok := p.fields[field].(bool)
 	if !ok {
 		p.fail(field, "true or false")
@@ -134,7 +141,7 @@
 	return b
 }
 
-func (p *parser) count(field string) int {
+func (p *submissionParser) count(field string) int {
 	switch n := p.fields[field].(type) {
 	case int64:
 		return int(n)
@@ -145,7 +152,7 @@
 	return 0
 }
 
-func (p *parser) amount(field string) float64 {
+func (p *submissionParser) amount(field string) float64 {
 	var f float64
 	switch n := p.fields[field].(type) {
 	case float64:
@@ -166,29 +173,3 @@
 	}
 	return f
 }
-
-// neverRuns says why a job can never run, or "".
-func neverRuns(spec *protocol.JobSpec, dep *settings.Deployment, types []protocol.MachineType) string {
-	team, ok := dep.Team(spec.Team)
-	if !ok {
-		return "unknown team"
-	}
-	if spec.Types != nil && len(spec.Types) == 0 || !fleet.Fits(types, spec) {
-		return "a task fits no allowed machine type"
-	}
-	n := 1
-	if spec.Gang() {
-		n = spec.Tasks
-	}
-	k := float64(n)
-	if team.CpusMax > 0 && k*spec.Cpus > team.CpusMax || team.GpusMax > 0 && k*spec.Gpus > team.GpusMax {
-		return "needs more than the team's limit"
-	}
-	if spec.Gang() && spec.Spread && spec.Tasks > 1 && (spec.OneZone || spec.Zone != "") {
-		return "its tasks can't be both spread and in one zone"
-	}
-	if ledger.New(*spec, 0).Room(int(dep.State.ValueKb*1024)) < n {
-		return "too large to be recorded while it runs"
-	}
-	return ""
-}
--- a/internal/intake/spec_test.go
+++ b/internal/protocol/submission_test.go
@@ -1,4 +1,4 @@
-package intake
+package protocol
 
 import (
 	"math"
@@ -6,9 +6,6 @@
 	"testing"
 
 	"github.com/vmihailenco/msgpack/v5"
-
-	"postpoint/internal/protocol"
-	"postpoint/internal/settings"
 )
 
 func submission() map[string]any {
@@ -20,17 +17,17 @@
 	}
 }
 
-func parse(t *testing.T, fields any) (protocol.JobSpec, error) {
+func parse(t *testing.T, fields any) (JobSpec, error) {
 	raw, err := msgpack.Marshal(fields)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return parseSpec(raw)
+	return DecodeSubmission(raw)
 }
 
 // A submission is taken as described, with null fields left out too, and each
 // bad field is named.
-func TestParseSpec(t *testing.T) {
+func TestSubmissionsAreCheckedFieldByField(t *testing.T) {
 	spec, err := parse(t, submission())
 	if err != nil || spec.Tasks != 4 || spec.CheckpointS != 30 || *spec.DeadlineS != 900 || !spec.OneZone || spec.Types[0] != "g8" {
 		t.Fatalf("%+v %v", spec, err)
@@ -64,48 +61,19 @@
 			}
 		}
 	}
-	for _, raw := range [][]byte{nil, {0xc1}, {0x93, 1, 2, 3}, []byte("hello"), {0x81}, append(protocol.Encode(submission()), 0)} {
-		if _, err := parseSpec(raw); err == nil {
+	for _, raw := range [][]byte{nil, {0xc1}, {0x93, 1, 2, 3}, []byte("hello"), {0x81}, append(Encode(submission()), 0)} {
+		if _, err := DecodeSubmission(raw); err == nil {
 			t.Errorf("%v was taken", raw)
 		}
 	}
 }
 
-func FuzzParseSpec(f *testing.F) {
-	f.Add(protocol.Encode(submission()))
+func FuzzDecodeSubmission(f *testing.F) {
+	f.Add(Encode(submission()))
 	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		if spec, err := parseSpec(raw); err == nil && (spec.Tasks < 1 || !protocol.ValidJobID(spec.ID) || !(spec.Cpus >= 0)) {
+		if spec, err := DecodeSubmission(raw); err == nil && (spec.Tasks < 1 || !ValidJobID(spec.ID) || !(spec.Cpus >= 0)) {
 			t.Fatalf("%+v", spec)
 		}
 	})
 }
-
-func TestNeverRuns(t *testing.T) {
-	dep := &settings.Deployment{Teams: []settings.Team{{Name: "vision", GpusMax: 4}}, State: settings.State{ValueKb: 8}}
-	types := []protocol.MachineType{{Name: "g8", Cpus: 96, Gpus: 8, MemoryGB: 768, Zones: []string{"a", "b"}}, {Name: "c4", Cpus: 4, MemoryGB: 16, Zones: []string{"a"}}}
-	for _, c := range []struct {
-		change func(*protocol.JobSpec)
-		why    string
-	}{
-		{func(*protocol.JobSpec) {}, ""},
-		{func(s *protocol.JobSpec) { s.Team = "other" }, "unknown team"},
-		{func(s *protocol.JobSpec) { s.Types = []string{"c4"} }, "fits no allowed"},
-		{func(s *protocol.JobSpec) { s.Types = []string{} }, "fits no allowed"},
-		{func(s *protocol.JobSpec) { s.Zone = "c" }, "fits no allowed"},
-		{func(s *protocol.JobSpec) { s.Cpus = 97 }, "fits no allowed"},
-		{func(s *protocol.JobSpec) { s.Tasks = 5 }, "limit"},
-		{func(s *protocol.JobSpec) { s.Tasks, s.Shape = 5, protocol.ShapeArray }, ""},
-		{func(s *protocol.JobSpec) { s.Spread = true }, "spread"},
-		{func(s *protocol.JobSpec) { s.Tasks, s.Gpus, s.Cpus = 5000, 0, 0 }, "too large"},
-	} {
-		spec, err := parse(t, submission())
-		if err != nil {
-			t.Fatal(err)
-		}
-		c.change(&spec)
-		if why := neverRuns(&spec, dep, types); why != c.why && (c.why == "" || !strings.Contains(why, c.why)) {
-			t.Errorf("%+v: %q, not %q", spec, why, c.why)
-		}
-	}
-}
