--- a/internal/dispatch/allowance.go
+++ b/internal/dispatch/allowance.go
@@ -111,7 +111,7 @@
 // are the only orders that need neither the lease nor fresh records: they are final. An
 // answer to a report always carries them, since it renews the lease of what it doesn't
 // end.
-func (d *Dispatch) endings(m *machine, beat bool) []protocol.Order {
+func (d *Dispatch) endings(m *machine, heartbeat bool) []protocol.Order {
 	leads := d.leads()
 	var left []taskRef
 	for ref, t := range m.tasks {
@@ -124,7 +124,7 @@
 	var orders []protocol.Order
 	for _, ref := range left {
 		s := m.sentOf(ref)
-		if beat || s.killAt == 0 || d.now()-s.killAt >= repeatTime {
+		if heartbeat || s.killAt == 0 || d.now()-s.killAt >= repeatTime {
 			orders = append(orders, protocol.Order{Verb: protocol.VerbStop, Task: protocol.TaskName(ref.job, ref.task), Try: ref.try})
 			s.killAt = d.now()
 		}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -32,7 +32,7 @@
 	for _, j := range d.jobs {
 		if j.reread {
 			d.readAgain(j)
-		} else if !j.flight && j.changed != j.durable && d.now() >= j.dirtyAt+d.patience(j) {
+		} else if !j.inFlight && j.changed != j.durable && d.now() >= j.dirtyAt+d.commitDelay(j) {
 			dirty = append(dirty, j)
 		}
 	}
@@ -56,7 +56,7 @@
 		t.Guards = append(t.Guards, protocol.Guard{Key: key, Version: j.version})
 		t.Changes = append(t.Changes, protocol.Change{Put: key, Value: value})
 		writes = append(writes, write{j, j.changed})
-		j.flight, j.dirtyAt = true, d.now()
+		j.inFlight, j.dirtyAt = true, d.now()
 	}
 	d.committing = true
 	epoch := d.term.Epoch
@@ -82,10 +82,10 @@
 	return 2
 }
 
-// patience is how long a change may wait for others of its record: each write
+// commitDelay is how long a change may wait for others of its record: each write
 // costs a part of the state service's budget however much it changes, and the
 // ends of single tasks, that nobody waits for, come one by one.
-func (d *Dispatch) patience(j *job) clock.Micros {
+func (d *Dispatch) commitDelay(j *job) clock.Micros {
 	if d.urgency(j) == 2 {
 		return endsTime
 	}
@@ -96,7 +96,7 @@
 
 func (d *Dispatch) committed(writes []write, r statestore.Reply[protocol.TxnAnswer]) {
 	for _, w := range writes {
-		w.j.flight = false
+		w.j.inFlight = false
 	}
 	switch {
 	case r.Status == http.StatusOK:
@@ -148,8 +148,8 @@
 		}
 	}
 	for _, w := range writes {
-		if e := w.j.stash; e != nil {
-			w.j.stash = nil
+		if e := w.j.followedEvent; e != nil {
+			w.j.followedEvent = nil
 			d.adopt(e.Put, e.Value, e.Version)
 		}
 		d.retire(w.j)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -52,7 +52,7 @@
 	// caught up with them: an older version that still comes is not news.
 	retired    map[string]int64
 	unreadable map[string]bool // jobs whose records make no sense
-	gone       map[string]bool // released machines: what is still heard of them is old
+	released   map[string]bool // released machines: what is still heard of them is old
 	loaded     bool
 	begunAt    clock.Micros // when this term began here
 	freshAt    clock.Micros // everything in the records before this is known
@@ -65,9 +65,9 @@
 	pauseUntil clock.Micros // after a refusal of the state service
 	renting    fleetState
 	views      []planner.Machine // of the last snapshot
-	// holding tells that reports are held, until the records are read: see hold.
-	holding bool
-	held    []func()
+	// deferring tells that reports wait, until the records are read: see deferReport.
+	deferring bool
+	deferred  []func()
 
 	// Kept across terms.
 	catalogue []protocol.MachineType
@@ -110,12 +110,12 @@
 	*ledger.Job
 	version int64 // the key's version that the last durable content has
 
-	changed int // counts changes of the content
-	durable int // the count that is in the record
-	flight  bool
-	reread  bool // the record must be read before anything else happens
-	reading bool
-	stash   *protocol.Event // what was followed during a flight
+	changed       int // counts changes of the content
+	durable       int // the count that is in the record
+	inFlight      bool
+	reread        bool // the record must be read before anything else happens
+	reading       bool
+	followedEvent *protocol.Event // what was followed while a change was in flight
 	// dirtyAt is since when the content differs from the record.
 	dirtyAt clock.Micros
 
@@ -128,8 +128,8 @@
 	running      []planner.Running
 	runningSince []clock.Micros
 	runningStale bool
-	// spoilt is a gang's try that can't be completed any more.
-	spoilt    int64
+	// brokenTry is a gang's try that can't be completed any more.
+	brokenTry int64
 	failures  int
 	notBefore clock.Micros
 	avoid     map[string]bool
@@ -156,7 +156,7 @@
 // over tells that nothing of the job may start or stay any more.
 func (j *job) over() bool { return j.Final() || j.cancelled }
 
-func (j *job) clean() bool { return !j.flight && !j.reread && j.changed == j.durable }
+func (j *job) clean() bool { return !j.inFlight && !j.reread && j.changed == j.durable }
 
 // touch notes a change of the content.
 func (d *Dispatch) touch(j *job) {
@@ -194,12 +194,12 @@
 	heardAt, answeredAt clock.Micros
 	shiftAt             clock.Micros // when its present shift was first heard of
 	recallAt            clock.Micros // when the cloud takes it; 0: not announced
-	beatShift           int64
-	beatCounter         int64
+	heartbeatShift      int64
+	heartbeatCounter    int64
 	expired             bool // its lease has surely ended: only a newer shift counts
-	// unheeding machines report, but lose one session after the other though they
+	// answersLost machines report, but lose one session after the other though they
 	// are answered: answers don't reach them.
-	unheeding    bool
+	answersLost  bool
 	challengedAt clock.Micros // when it was last asked whether it has started over
 
 	listed    bool
@@ -238,11 +238,11 @@
 // sent is what is known of a start's way to the worker: as long as one may
 // still arrive, the try must not be forgotten, or it would start again.
 type sent struct {
-	inCall    bool
-	inBeat    bool
-	uncertain bool
-	startAt   clock.Micros
-	killAt    clock.Micros
+	inCall      bool
+	inHeartbeat bool
+	uncertain   bool
+	startAt     clock.Micros
+	killAt      clock.Micros
 }
 
 type image struct {
@@ -280,7 +280,7 @@
 		case t.Epoch == before:
 		case t.Epoch == 0:
 			d.jobs, d.machines, d.roster, d.loaded = nil, nil, nil, false
-			d.endHold()
+			d.answerDeferred()
 		default:
 			d.begin()
 		}
@@ -320,10 +320,10 @@
 // begin takes over: records first, then every machine's own word.
 func (d *Dispatch) begin() {
 	slog.Info("taking over", "epoch", d.term.Epoch)
-	d.jobs, d.machines, d.roster, d.gone = map[string]*job{}, map[string]*machine{}, nil, map[string]bool{}
+	d.jobs, d.machines, d.roster, d.released = map[string]*job{}, map[string]*machine{}, nil, map[string]bool{}
 	d.unreadable, d.retired = map[string]bool{}, map[string]int64{}
-	d.endHold()
-	d.holding = true
+	d.answerDeferred()
+	d.deferring = true
 	d.loaded, d.committing, d.waking, d.shared = false, false, false, false
 	d.begunAt, d.freshAt, d.attestedAt, d.attesting, d.plans = d.now(), 0, 0, false, 0
 	d.renting = newFleetState(d.set.Deployment.Cloud.Rps)
@@ -355,7 +355,7 @@
 		d.loaded = true
 		d.freshAt = began
 		if first {
-			d.endHold()
+			d.answerDeferred()
 			slog.Info("records read", "epoch", epoch, "open_jobs", len(d.jobs), "took_ms", (d.now()-began)/clock.Millisecond)
 		}
 		d.wake()
@@ -404,10 +404,10 @@
 		return
 	}
 	content, err := ledger.Decode(raw)
-	if j != nil && j.flight {
+	if j != nil && j.inFlight {
 		// What this is becomes clear when our own change is answered; that it is
 		// cancelled is final.
-		j.stash = &protocol.Event{Put: key, Value: raw, Version: version}
+		j.followedEvent = &protocol.Event{Put: key, Value: raw, Version: version}
 		if err == nil && content.Status == protocol.StatusCancelled {
 			d.noteCancelled(j, d.confirmedAt(content))
 		}
@@ -440,7 +440,7 @@
 	}
 	on := map[string]*machine{}
 	for _, p := range inOrder(content.Placed) {
-		if d.gone[p.Machine] {
+		if d.released[p.Machine] {
 			// Released meanwhile, with all on it: the record is behind.
 			d.unplace(j, p)
 			continue
@@ -566,7 +566,7 @@
 }
 
 // stepCost is what a step is taken to cost, for a pause after it that leaves the
-// processor to beats, renewals and users: a leader that plans without a break at
+// processor to heartbeats, renewals and users: a leader that plans without a break at
 // a tenth of a core is late for everything else. Each part is counted rather
 // than timed, so that the same events always lead to the same decisions.
 func (d *Dispatch) stepCost() clock.Micros {
@@ -611,7 +611,7 @@
 			d.cordon()
 		}
 		d.logState()
-		if d.deaf() && (d.resignedAt == 0 || d.now() > d.resignedAt+resignAgain) {
+		if d.hearsNoWorker() && (d.resignedAt == 0 || d.now() > d.resignedAt+resignAgain) {
 			d.resignedAt = d.now()
 			d.resign()
 		}
@@ -627,11 +627,11 @@
 
 const strainedLag = 300 * clock.Millisecond
 
-// deaf tells that no worker at all has been heard of for a while, though there
+// hearsNoWorker tells that no worker at all has been heard of for a while, though there
 // are several: this node may be cut off from them while others are not, and their
 // leases run out at a leader that they can't reach. A worker spends four seconds on
 // a node that doesn't answer, so that two missing reports have to be enough.
-func (d *Dispatch) deaf() bool {
+func (d *Dispatch) hearsNoWorker() bool {
 	since := d.begunAt
 	known := 0
 	for _, m := range d.roster {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -20,7 +20,7 @@
 	set.Deployment.Workers = settings.Workers{ReportS: 2, LeaseS: 12, GangPeerS: 4, CancelS: 30}
 	d := New(box, nil, nil, nil, set, func(int64) {}, func() {}, nil, nil)
 	d.term.Epoch, d.begunAt, d.term.RenewedAt, d.term.ValidUntil = 7, box.Now, box.Now, box.Now+4*clock.Second
-	d.jobs, d.machines, d.gone, d.unreadable = map[string]*job{}, map[string]*machine{}, map[string]bool{}, map[string]bool{}
+	d.jobs, d.machines, d.released, d.unreadable = map[string]*job{}, map[string]*machine{}, map[string]bool{}, map[string]bool{}
 	d.retired = map[string]int64{}
 	d.loaded, d.freshAt, d.waking = true, box.Now, true
 	return d, box
@@ -102,7 +102,7 @@
 }
 
 // A session begins with a lease that nobody answered: a machine just heard of
-// for the first time isn't expired, though no beat of it was ever answered.
+// for the first time isn't expired, though no heartbeat of it was ever answered.
 func TestASessionBeginsWithALease(t *testing.T) {
 	d, j, m, box := one(t)
 	box.Now += 60 * clock.Second
@@ -155,7 +155,7 @@
 	d, j, m, _ := one(t)
 	old := j.Encode()
 	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskExited, Cause: protocol.CauseDone}))
-	j.flight = true
+	j.inFlight = true
 	d.committed([]write{{j, j.changed}}, statestore.Reply[protocol.TxnAnswer]{Status: 200, Value: protocol.TxnAnswer{Revision: 6}})
 	if len(d.jobs) != 0 {
 		t.Fatal("the job isn't over")
@@ -200,7 +200,7 @@
 func TestPlacesOnReleasedMachinesAreFree(t *testing.T) {
 	d, j, _, _ := one(t)
 	old := j.Encode()
-	d.gone["m-1"] = true
+	d.released["m-1"] = true
 	delete(d.machines, "m-1")
 	d.roster = nil
 	j.reread = true
@@ -210,7 +210,7 @@
 	}
 	// What is still heard of it is old, and brings nothing back.
 	status := 0
-	d.Beat(report(1, 7), func(s int, _ any) { status = s })
+	d.Heartbeat(report(1, 7), func(s int, _ any) { status = s })
 	if status != 421 || d.machines["m-1"] != nil {
 		t.Fatalf("answered %d, known %v", status, d.machines["m-1"] != nil)
 	}
@@ -225,7 +225,7 @@
 	say := func(shift, counter int64) {
 		r := report(shift, counter)
 		r.Type = "t"
-		d.Beat(r, func(int, any) {})
+		d.Heartbeat(r, func(int, any) {})
 	}
 	say(1, 1)
 	if !usable() {
@@ -263,7 +263,7 @@
 	old := report(1, 5)
 	old.Epoch, old.Type = 6, "t"
 	j.Status = protocol.StatusCancelled
-	d.Beat(old, func(int, any) {})
+	d.Heartbeat(old, func(int, any) {})
 	if len(j.Placed) != 1 {
 		t.Fatal("the place was freed")
 	}
@@ -272,7 +272,7 @@
 	}
 }
 
-// BenchmarkBeat is a report of eight running tasks that brings no news.
+// BenchmarkHeartbeat is a report of eight running tasks that brings no news.
 // eightRunning is a leader that has heard of a job's eight tasks where they are placed,
 // and the report that said so.
 func eightRunning() (*Dispatch, *job, protocol.Report) {
@@ -286,16 +286,16 @@
 	d.adopt(ledger.Key("job-1"), content.Encode(), 5)
 	for range 2 {
 		r.Counter++
-		d.Beat(r, func(int, any) {})
+		d.Heartbeat(r, func(int, any) {})
 	}
 	return d, d.jobs["job-1"], r
 }
 
-func BenchmarkBeat(b *testing.B) {
+func BenchmarkHeartbeat(b *testing.B) {
 	d, _, r := eightRunning()
 	for b.Loop() {
 		r.Counter++
-		d.Beat(r, func(int, any) {})
+		d.Heartbeat(r, func(int, any) {})
 	}
 }
 
@@ -305,7 +305,7 @@
 	d, _, r := eightRunning()
 	n := testing.AllocsPerRun(100, func() {
 		r.Counter++
-		d.Beat(r, func(int, any) {})
+		d.Heartbeat(r, func(int, any) {})
 	})
 	if n > 4 {
 		t.Errorf("%v allocations", n)
@@ -319,14 +319,14 @@
 			r.Tasks = append(slices.Clone(r.Tasks), protocol.TaskReport{Task: "job-2/0", Try: 1, Status: protocol.TaskRunning})
 		},
 		"a gang is incomplete": func(_ *Dispatch, j *job, _ *protocol.Report) {
-			j.Spec.Shape, j.Spec.Tasks, j.spoilt = protocol.ShapeGang, 9, 1
+			j.Spec.Shape, j.Spec.Tasks, j.brokenTry = protocol.ShapeGang, 9, 1
 		},
 	} {
 		d, j, r := eightRunning()
 		change(d, j, &r)
 		r.Counter++
 		var orders []protocol.Order
-		d.Beat(r, func(_ int, body any) { orders = body.(protocol.BeatAnswer).Orders })
+		d.Heartbeat(r, func(_ int, body any) { orders = body.(protocol.HeartbeatAnswer).Orders })
 		if len(orders) == 0 {
 			t.Errorf("%s: nothing is ordered", name)
 		}
@@ -350,11 +350,11 @@
 	} {
 		d, j, r := eightRunning()
 		box := d.mailbox.(*actortest.Still)
-		beat := func() (forgotten int) {
+		heartbeat := func() (forgotten int) {
 			r.Counter++
 			r.Tasks = slices.Clone(r.Tasks)
-			d.Beat(r, func(_ int, body any) {
-				for _, o := range body.(protocol.BeatAnswer).Orders {
+			d.Heartbeat(r, func(_ int, body any) {
+				for _, o := range body.(protocol.HeartbeatAnswer).Orders {
 					if o.Verb == protocol.VerbForget {
 						forgotten++
 					}
@@ -365,7 +365,7 @@
 		for i := range c.ended {
 			r.Tasks[i].Status, r.Tasks[i].Cause = protocol.TaskExited, protocol.CauseDone
 		}
-		if n := beat(); n > 0 {
+		if n := heartbeat(); n > 0 {
 			t.Errorf("%s: %d forgotten before their ends are durable", c.name, n)
 		}
 		j.durable = j.changed
@@ -373,13 +373,13 @@
 			j.stops[7] = stop{why: "room"}
 		}
 		for waited := clock.Micros(0); waited < c.after; waited += clock.Second {
-			if n := beat(); n > 0 {
+			if n := heartbeat(); n > 0 {
 				t.Errorf("%s: %d forgotten after %v s", c.name, n, waited.Seconds())
 			}
 			box.Now += clock.Second
 			d.freshAt, d.term.ValidUntil = box.Now, box.Now+clock.Second
 		}
-		if n := beat(); n != c.forgotten {
+		if n := heartbeat(); n != c.forgotten {
 			t.Errorf("%s: %d forgotten, not %d", c.name, n, c.forgotten)
 		}
 	}
@@ -421,9 +421,9 @@
 	d, box := leader()
 	q := &queued{Still: *box}
 	d.mailbox = q
-	beat := func(counter int64, wait clock.Micros) int {
+	heartbeat := func(counter int64, wait clock.Micros) int {
 		got := 0
-		d.Beat(report(1, counter), func(status int, _ any) { got = status })
+		d.Heartbeat(report(1, counter), func(status int, _ any) { got = status })
 		q.Now += wait
 		d.freshAt, d.term.ValidUntil = q.Now, q.Now+4*clock.Second
 		for _, message := range q.waiting {
@@ -432,10 +432,10 @@
 		q.waiting = nil
 		return got
 	}
-	if got := beat(1, 3500*clock.Millisecond); got != 503 || d.machines["m-1"] != nil {
+	if got := heartbeat(1, 3500*clock.Millisecond); got != 503 || d.machines["m-1"] != nil {
 		t.Fatalf("a late report is answered %d, the machine is %v", got, d.machines["m-1"])
 	}
-	if got := beat(2, 500*clock.Millisecond); got != 200 || d.machines["m-1"] == nil {
+	if got := heartbeat(2, 500*clock.Millisecond); got != 200 || d.machines["m-1"] == nil {
 		t.Fatalf("one in time is answered %d", got)
 	}
 }
@@ -542,9 +542,9 @@
 			if d.term.ValidUntil = box.Now; leads {
 				d.term.ValidUntil += clock.Second
 			}
-			d.Beat(report(1, counter, tasks...), func(s int, body any) {
+			d.Heartbeat(report(1, counter, tasks...), func(s int, body any) {
 				status = s
-				if a, ok := body.(protocol.BeatAnswer); ok {
+				if a, ok := body.(protocol.HeartbeatAnswer); ok {
 					orders = a.Orders
 				}
 			})
@@ -598,7 +598,7 @@
 func TestCancellationsDontWaitForChanges(t *testing.T) {
 	d, j, m, box := one(t)
 	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskRunning}))
-	j.flight = true
+	j.inFlight = true
 	cancelled := *j.Job
 	cancelled.Status, cancelled.CancelledAt = protocol.StatusCancelled, int64(box.Now)
 	d.adopt(ledger.Key("job-1"), cancelled.Encode(), 6)
@@ -644,10 +644,10 @@
 	for _, read := range []bool{true, false} {
 		d, box := leader()
 		store := &lists{}
-		d.store, d.loaded, d.freshAt, d.holding = store, false, 0, true
+		d.store, d.loaded, d.freshAt, d.deferring = store, false, 0, true
 		d.load(7, "", 0, box.Now)
 		status := 0
-		d.Beat(report(1, 1), func(s int, _ any) { status = s })
+		d.Heartbeat(report(1, 1), func(s int, _ any) { status = s })
 		if status != 0 {
 			t.Fatalf("answered %d before the records are read", status)
 		}
@@ -656,12 +656,12 @@
 			store.answer()
 			want = 200
 		} else {
-			d.endHold() // after earlyTime
+			d.answerDeferred() // after earlyTime
 		}
 		if status != want {
 			t.Fatalf("records read %v: answered %d", read, status)
 		}
-		d.Beat(report(1, 2), func(s int, _ any) { status = -s })
+		d.Heartbeat(report(1, 2), func(s int, _ any) { status = -s })
 		if status != -want {
 			t.Fatalf("records read %v: the next is answered %d", read, -status)
 		}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -329,7 +329,7 @@
 			delete(d.machines, name)
 			delete(d.addresses, name)
 			delete(d.renting.refused, m.kind()) // there is one to be had again
-			d.gone[name] = true
+			d.released[name] = true
 		}
 		d.roster = slices.DeleteFunc(slices.Clone(d.roster), func(m *machine) bool { return d.machines[m.name] != m })
 		d.wake()
@@ -372,7 +372,7 @@
 }
 
 func (d *Dispatch) noteListed(x protocol.ListedMachine) {
-	if d.gone[x.Name] {
+	if d.released[x.Name] {
 		return
 	}
 	fresh := d.machines[x.Name] == nil
@@ -402,7 +402,7 @@
 func (d *Dispatch) missing(listed map[string]bool, began clock.Micros) {
 	lag := 2*clock.FromSeconds(d.set.Deployment.Cloud.ListLagS) + clock.Second
 	for _, m := range d.roster {
-		if m.listed && !listed[m.name] && began > m.listedAt+lag && !d.lively(m) {
+		if m.listed && !listed[m.name] && began > m.listedAt+lag && !d.heardRecently(m) {
 			d.release(m, "no longer listed")
 		}
 		// It ran tasks before this term and has had time to report since: if it
@@ -416,16 +416,16 @@
 // renewed tells that the machine's lease is being renewed: one that only answers
 // direct commands loses whatever it is given when its lease ends.
 func (d *Dispatch) renewed(m *machine) bool {
-	return m.answeredAt != 0 && d.lately(m.answeredAt)
+	return m.answeredAt != 0 && d.withinTwoReports(m.answeredAt)
 }
 
-// lively tells that a machine was heard of about as often as it should be.
-func (d *Dispatch) lively(m *machine) bool {
-	return m.seen && d.lately(m.heardAt)
+// heardRecently tells that a machine was heard of about as often as it should be.
+func (d *Dispatch) heardRecently(m *machine) bool {
+	return m.seen && d.withinTwoReports(m.heardAt)
 }
 
-// lately tells that something that every report repeats was no longer ago than two of
+// withinTwoReports tells that something that every report repeats was no longer ago than two of
 // them may take.
-func (d *Dispatch) lately(at clock.Micros) bool {
+func (d *Dispatch) withinTwoReports(at clock.Micros) bool {
 	return d.now() < at+2*d.set.Deployment.Workers.Report()+2*clock.Second
 }
--- a/internal/dispatch/overview.go
+++ b/internal/dispatch/overview.go
@@ -84,7 +84,7 @@
 		switch {
 		case !m.seen && m.status == protocol.MachineStarting:
 			k.Booting++
-		case !d.lively(m):
+		case !d.heardRecently(m):
 			k.Silent++
 		case len(m.placed) == 0:
 			k.Idle++
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -12,44 +12,44 @@
 	"postpoint/internal/transport"
 )
 
-// Beat handles a worker's report. The reply is called from the actor.
-func (d *Dispatch) Beat(r protocol.Report, reply func(status int, body any)) {
+// Heartbeat handles a worker's report. The reply is called from the actor.
+func (d *Dispatch) Heartbeat(r protocol.Report, reply func(status int, body any)) {
 	arrived := d.now()
-	d.mailbox.Post(func() { d.beat(r, arrived, reply) })
+	d.mailbox.Post(func() { d.heartbeat(r, arrived, reply) })
 }
 
 // earlyTime is less than workers wait by far.
 const earlyTime = clock.Second
 
-// hold keeps a report until the records are read, but not for long: a new leader knows
+// deferReport keeps a report until the records are read, but not for long: a new leader knows
 // what it may answer a moment later, and a refusal would send each worker round the
 // other nodes and back.
-func (d *Dispatch) hold(beat func()) {
-	if len(d.held) == 0 {
-		d.inTerm(earlyTime, d.endHold)
+func (d *Dispatch) deferReport(heartbeat func()) {
+	if len(d.deferred) == 0 {
+		d.inTerm(earlyTime, d.answerDeferred)
 	}
-	d.held = append(d.held, beat)
+	d.deferred = append(d.deferred, heartbeat)
 }
 
-// endHold lets the reports that were held be answered as things stand.
-func (d *Dispatch) endHold() {
-	beats := d.held
-	d.holding, d.held = false, nil
-	for _, beat := range beats {
-		beat()
+// answerDeferred lets the reports that were held be answered as things stand.
+func (d *Dispatch) answerDeferred() {
+	heartbeats := d.deferred
+	d.deferring, d.deferred = false, nil
+	for _, heartbeat := range heartbeats {
+		heartbeat()
 	}
 }
 
-func (d *Dispatch) beat(r protocol.Report, arrived clock.Micros, reply func(status int, body any)) {
-	if d.holding {
-		d.hold(func() { d.beat(r, arrived, reply) })
+func (d *Dispatch) heartbeat(r protocol.Report, arrived clock.Micros, reply func(status int, body any)) {
+	if d.deferring {
+		d.deferReport(func() { d.heartbeat(r, arrived, reply) })
 		return
 	}
 	// After a stand of the process, or behind more than the processor can do, a
 	// report is no news of now and its worker is about to give up: a refusal
 	// costs next to nothing, lets those be taken whose answers will be in time,
 	// and isn't taken for an answer that the worker didn't heed.
-	if d.now() > arrived+beatPatience {
+	if d.now() > arrived+reportTimeout {
 		reply(http.StatusServiceUnavailable, protocol.Redirect{})
 		return
 	}
@@ -57,7 +57,7 @@
 		clear(d.addresses)
 	}
 	d.addresses[r.Machine] = r.Address
-	if !d.leads() && !d.keeps() || d.gone[r.Machine] {
+	if !d.leads() && !d.keeps() || d.released[r.Machine] {
 		hint := d.leader
 		if hint == d.set.Node {
 			hint = ""
@@ -69,7 +69,7 @@
 	d.observe(m, r)
 	// An old report may come late. One that is only older than what a
 	// direct command's answer told is the worker's current one.
-	newest := r.Shift > m.beatShift || r.Shift == m.beatShift && r.Counter > m.beatCounter
+	newest := r.Shift > m.heartbeatShift || r.Shift == m.heartbeatShift && r.Counter > m.heartbeatCounter
 	if !newest {
 		d.challenge(m)
 	}
@@ -81,13 +81,13 @@
 		reply(http.StatusServiceUnavailable, protocol.Redirect{})
 		return
 	}
-	m.beatShift, m.beatCounter = r.Shift, r.Counter
+	m.heartbeatShift, m.heartbeatCounter = r.Shift, r.Counter
 	for _, s := range m.sent {
 		// The worker has one report in flight: the answer to the last one
 		// was carried out or dropped by now.
-		s.inBeat = false
+		s.inHeartbeat = false
 	}
-	answer := protocol.BeatAnswer{Epoch: d.term.Epoch, Orders: d.orders(m, true)}
+	answer := protocol.HeartbeatAnswer{Epoch: d.term.Epoch, Orders: d.orders(m, true)}
 	m.answeredAt = d.now()
 	reply(http.StatusOK, answer)
 }
@@ -111,13 +111,13 @@
 		// Its session ran out. Had the latest answer to it arrived, it would not
 		// have yet: a machine whose reports come through while answers and
 		// commands don't looks alive and loses its tasks lease after lease.
-		deaf := m.answeredAt != 0 && d.now() < m.answeredAt+d.set.Deployment.Workers.Lease()
-		if deaf && !m.unheeding {
+		answerLost := m.answeredAt != 0 && d.now() < m.answeredAt+d.set.Deployment.Workers.Lease()
+		if answerLost && !m.answersLost {
 			slog.Info("machine loses its session though it is answered", "machine", m.name, "shift", r.Shift)
-		} else if deaf {
+		} else if answerLost {
 			d.release(m, "answers don't reach it")
 		}
-		m.unheeding = m.unheeding || deaf
+		m.answersLost = m.answersLost || answerLost
 	}
 	if r.Shift > m.shift {
 		clear(m.sent)
@@ -135,8 +135,8 @@
 	m.addr, m.typ, m.zone, m.spot = r.Address, r.Type, r.Zone, r.Spot
 	m.shift, m.counter, m.epoch = r.Shift, r.Counter, r.Epoch
 	m.heardAt = d.now()
-	if w := d.set.Deployment.Workers; m.unheeding && m.heardAt > m.shiftAt+w.Lease()+leaseMargin {
-		m.unheeding = false // this session has outlasted its first lease: answers arrive again
+	if w := d.set.Deployment.Workers; m.answersLost && m.heardAt > m.shiftAt+w.Lease()+leaseMargin {
+		m.answersLost = false // this session has outlasted its first lease: answers arrive again
 	}
 	m.recallAt = 0
 	if r.RecallS != nil {
@@ -175,7 +175,7 @@
 // has started over goes back: late copies of its former life would look newer than
 // all that it says, and what it still holds is known for certain once it is gone.
 func (d *Dispatch) challenge(m *machine) {
-	if !d.leads() || m.calling || m.releasing || m.addr == "" || d.lively(m) || d.now() < m.challengedAt+challengeTime {
+	if !d.leads() || m.calling || m.releasing || m.addr == "" || d.heardRecently(m) || d.now() < m.challengedAt+challengeTime {
 		return
 	}
 	m.challengedAt = d.now()
@@ -213,8 +213,8 @@
 
 const (
 	challengeTime = 5 * clock.Second
-	// beatPatience is less than the four seconds that a worker waits.
-	beatPatience = 3 * clock.Second
+	// reportTimeout is less than the four seconds that a worker waits.
+	reportTimeout = 3 * clock.Second
 )
 
 // sameTasks tells that a report brings no news of the machine's tasks.
@@ -284,7 +284,7 @@
 // mayArrive tells that a start of this try may still reach the worker.
 func (d *Dispatch) mayArrive(m *machine, ref taskRef) bool {
 	s := m.sent[ref]
-	return s != nil && (s.inCall || s.inBeat || s.uncertain)
+	return s != nil && (s.inCall || s.inHeartbeat || s.uncertain)
 }
 
 // mayRepeat tells that a late copy of a start that was carried out could do
@@ -306,7 +306,7 @@
 	if m.since[ref] == 0 {
 		d.imageSeen(m, j.Spec.Image, j.Spec.ImageGB)
 		if t.Status == protocol.TaskRunning {
-			j.spoilt = max(j.spoilt, ref.try) // a gang that runs can't be completed
+			j.brokenTry = max(j.brokenTry, ref.try) // a gang that runs can't be completed
 			m.since[ref] = d.now()
 			j.runningStale = true
 			j.failures = 0
@@ -369,7 +369,7 @@
 	}
 	switch t.Cause {
 	case protocol.CauseDone, protocol.CauseStopped, protocol.CausePeers, protocol.CauseAlone:
-		j.spoilt = max(j.spoilt, p.Try)
+		j.brokenTry = max(j.brokenTry, p.Try)
 	}
 	switch t.Cause {
 	case protocol.CauseDone:
@@ -377,7 +377,7 @@
 		d.notePace(m, &j.Spec, ran)
 		if j.Done.Len() == j.Spec.Tasks {
 			j.Status = protocol.StatusDone
-			d.repay(j)
+			d.returnRoom(j)
 		}
 	case protocol.CauseStopped, protocol.CausePeers:
 	case protocol.CauseAlone:
@@ -427,8 +427,8 @@
 	}
 }
 
-// repay lets those who made room for a job have it back first.
-func (d *Dispatch) repay(j *job) {
+// returnRoom lets those who made room for a job have it back first.
+func (d *Dispatch) returnRoom(j *job) {
 	for _, id := range j.Lenders {
 		if l := d.jobs[id]; l != nil {
 			l.returning = true
@@ -462,7 +462,7 @@
 	try := int64(0)
 	for _, p := range j.Placed {
 		m := d.machines[p.Machine]
-		if p.Try <= j.spoilt || try != 0 && p.Try != try || m == nil || !d.synced(m) || !d.renewed(m) || m.recallAt != 0 {
+		if p.Try <= j.brokenTry || try != 0 && p.Try != try || m == nil || !d.synced(m) || !d.renewed(m) || m.recallAt != 0 {
 			return false
 		}
 		try = p.Try
@@ -474,13 +474,13 @@
 }
 
 // orders is what the worker should do now, given its last report. Orders can
-// be repeated; beat answers carry all, direct commands only what is due. Without the
+// be repeated; heartbeat answers carry all, direct commands only what is due. Without the
 // lease there is nothing but the ends of what is cancelled.
-func (d *Dispatch) orders(m *machine, beat bool) []protocol.Order {
+func (d *Dispatch) orders(m *machine, heartbeat bool) []protocol.Order {
 	if d.asOrdered(m) {
 		return []protocol.Order{}
 	}
-	orders := append([]protocol.Order{}, d.endings(m, beat)...)
+	orders := append([]protocol.Order{}, d.endings(m, heartbeat)...)
 	if !d.leads() || !d.synced(m) {
 		return orders // a worker's answer to the new epoch comes first
 	}
@@ -512,8 +512,8 @@
 				// arrive now: it then has no effect later.
 				orders = append(orders, protocol.Order{Verb: protocol.VerbStart, Task: name, Try: p.Try})
 				s.startAt = now
-				s.inBeat = s.inBeat || beat
-				s.inCall = s.inCall || !beat
+				s.inHeartbeat = s.inHeartbeat || heartbeat
+				s.inCall = s.inCall || !heartbeat
 			}
 			if st != nil && (there || d.mayArrive(m, ref)) && due(s.killAt) {
 				orders = append(orders, protocol.Order{Verb: protocol.VerbStop, Task: name, Try: p.Try, GraceS: st.grace})
@@ -521,14 +521,14 @@
 			}
 		}
 	}
-	return append(orders, d.looseOrders(m, beat, len(orders) > 0)...)
+	return append(orders, d.looseOrders(m, heartbeat, len(orders) > 0)...)
 }
 
 // looseOrders stops and forgets what is on a machine and in no record. Each forgotten
 // task is a change that the worker reports at once, and most of what a strained leader
 // is told: tasks that have ended are forgotten several at a time, with other orders, or
 // after a while.
-func (d *Dispatch) looseOrders(m *machine, beat, others bool) []protocol.Order {
+func (d *Dispatch) looseOrders(m *machine, heartbeat, others bool) []protocol.Order {
 	var loose []taskRef
 	for ref, t := range m.tasks {
 		j := d.jobs[ref.job]
@@ -551,12 +551,12 @@
 			continue
 		}
 		m.ended++
-		if beat && (j == nil || j.clean()) && !d.mayArrive(m, ref) && !d.mayRepeat(m, ref, t) {
+		if heartbeat && (j == nil || j.clean()) && !d.mayArrive(m, ref) && !d.mayRepeat(m, ref, t) {
 			// The outcome is durable and no start can bring the try back.
 			forgets = append(forgets, protocol.Order{Verb: protocol.VerbForget, Task: name, Try: ref.try})
 		}
 	}
-	if !beat || m.ended == 0 {
+	if !heartbeat || m.ended == 0 {
 		return orders
 	}
 	now := d.now()
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -599,7 +599,7 @@
 func (d *Dispatch) planned(m *machine, now clock.Micros) (planner.Machine, bool) {
 	t, known := d.types[m.typ]
 	if !known || m.releasing || m.quarantine || m.recallAt != 0 || now < m.fullUntil ||
-		m.seen && (m.cordoned || m.unheeding || !d.synced(m) || !d.renewed(m)) {
+		m.seen && (m.cordoned || m.answersLost || !d.synced(m) || !d.renewed(m)) {
 		return planner.Machine{}, false
 	}
 	if m.viewStale {
--- a/internal/intake/connections_test.go
+++ b/internal/intake/connections_test.go
@@ -27,8 +27,8 @@
 // crowd answers reports and may be asked by many at once.
 type crowd struct{}
 
-func (crowd) Beat(_ protocol.Report, reply func(int, any)) {
-	reply(http.StatusOK, protocol.BeatAnswer{Epoch: 1})
+func (crowd) Heartbeat(_ protocol.Report, reply func(int, any)) {
+	reply(http.StatusOK, protocol.HeartbeatAnswer{Epoch: 1})
 }
 func (crowd) Overview(func(any)) {}
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -159,7 +159,7 @@
 			return
 		}
 		if in.mailbox.Steady() < in.badUntil {
-			c.elsewhere()
+			c.forwardToPeer()
 			return
 		}
 		c.begin()
@@ -187,9 +187,9 @@
 	c.reply(Answer{Status: http.StatusServiceUnavailable, RetryS: 1, Body: protocol.Encode(protocol.Refusal{Error: why})})
 }
 
-// elsewhere lets another node answer when the state service doesn't serve this
+// forwardToPeer lets another node answer when the state service doesn't serve this
 // one: an outage of the whole service looks the same from here.
-func (c *call) elsewhere() {
+func (c *call) forwardToPeer() {
 	if f, ok := c.in.finals[c.r.ID]; ok && c.r.Kind != Submit {
 		c.answer(http.StatusOK, f)
 		return
@@ -213,7 +213,7 @@
 func (c *call) unserved(status int) {
 	if status != http.StatusTooManyRequests {
 		c.in.badUntil = c.in.mailbox.Steady() + badTime
-		c.elsewhere()
+		c.forwardToPeer()
 		return
 	}
 	if c.tries++; c.tries > maxTries {
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -13,27 +13,27 @@
 	"postpoint/internal/protocol"
 )
 
-// Beats takes workers' reports and shows operators the whole.
-type Beats interface {
-	Beat(r protocol.Report, reply func(status int, body any))
+// HeartbeatHandler takes workers' reports and shows operators the whole.
+type HeartbeatHandler interface {
+	Heartbeat(r protocol.Report, reply func(status int, body any))
 	Overview(reply func(any))
 }
 
 // Serve answers users, workers and health checks on one address.
-func Serve(addr string, maxConnections int, in *Intake, beats Beats) error {
+func Serve(addr string, maxConnections int, in *Intake, heartbeats HeartbeatHandler) error {
 	l, err := net.Listen("tcp4", addr)
 	if err != nil {
 		return err
 	}
-	return serve(newConnections(l, maxConnections), in, beats)
+	return serve(newConnections(l, maxConnections), in, heartbeats)
 }
 
 // maxHeader bounds the header of a request.
 const maxHeader = 8 << 10
 
-func serve(c *connections, in *Intake, beats Beats) error {
+func serve(c *connections, in *Intake, heartbeats HeartbeatHandler) error {
 	server := &http.Server{
-		Handler:           Handler(in, beats),
+		Handler:           Handler(in, heartbeats),
 		ReadHeaderTimeout: 5 * time.Second,
 		ReadTimeout:       10 * time.Second,
 		WriteTimeout:      10 * time.Second,
@@ -46,7 +46,7 @@
 }
 
 // Handler is all that the node answers over HTTP.
-func Handler(in *Intake, beats Beats) http.Handler {
+func Handler(in *Intake, heartbeats HeartbeatHandler) http.Handler {
 	mux := http.NewServeMux()
 	user := func(w http.ResponseWriter, r Request) {
 		answered := make(chan Answer, 1)
@@ -81,7 +81,7 @@
 	// For operators: what this node knows, as JSON.
 	mux.HandleFunc("GET /overview", func(w http.ResponseWriter, _ *http.Request) {
 		answered := make(chan any, 1)
-		beats.Overview(func(o any) { answered <- o })
+		heartbeats.Overview(func(o any) { answered <- o })
 		w.Header().Set("Content-Type", "application/json")
 		e := json.NewEncoder(w)
 		e.SetIndent("", "  ")
@@ -102,7 +102,7 @@
 			body   any
 		}
 		answered := make(chan answer, 1)
-		beats.Beat(report, func(status int, body any) { answered <- answer{status, body} })
+		heartbeats.Heartbeat(report, func(status int, body any) { answered <- answer{status, body} })
 		a := <-answered
 		stays := reports(r)
 		if !stays {
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -81,13 +81,13 @@
 	done(statestore.Reply[protocol.TxnAnswer]{Status: http.StatusServiceUnavailable})
 }
 
-type beats struct{ heard []protocol.Report }
+type heartbeats struct{ heard []protocol.Report }
 
-func (b *beats) Beat(r protocol.Report, reply func(int, any)) {
+func (b *heartbeats) Heartbeat(r protocol.Report, reply func(int, any)) {
 	b.heard = append(b.heard, r)
-	reply(http.StatusOK, protocol.BeatAnswer{Epoch: 1})
+	reply(http.StatusOK, protocol.HeartbeatAnswer{Epoch: 1})
 }
-func (b *beats) Overview(reply func(any)) { reply(map[string]bool{"leads": true}) }
+func (b *heartbeats) Overview(reply func(any)) { reply(map[string]bool{"leads": true}) }
 
 // Over HTTP: what is malformed or too large is refused at once and harms
 // nobody, and without the state service users are told when to come back.
@@ -97,7 +97,7 @@
 	set.Deployment.State.ValueKb = 8
 	in := New(&actortest.Still{Now: 20 * clock.Second}, down{}, set, func(_ Request, done func(Answer, bool)) { done(Answer{}, false) })
 	in.Types([]protocol.MachineType{{Name: "g8", Cpus: 96, Gpus: 8, MemoryGB: 768, Zones: []string{"a"}}})
-	b := &beats{}
+	b := &heartbeats{}
 	h := Handler(in, b)
 	ask := func(method, path string, body []byte) *httptest.ResponseRecorder {
 		w := httptest.NewRecorder()
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -157,8 +157,8 @@
 	GraceS float64 `msgpack:"LeaveS"`
 }
 
-// BeatAnswer answers a worker's report.
-type BeatAnswer struct {
+// HeartbeatAnswer answers a worker's report.
+type HeartbeatAnswer struct {
 	Epoch  int64   `msgpack:"Epoch"`
 	Orders []Order `msgpack:"Orders"`
 }
--- a/internal/testkit/deployment.go
+++ b/internal/testkit/deployment.go
@@ -56,7 +56,7 @@
 
 // reportHandler answers workers' reports.
 type reportHandler interface {
-	Beat(r protocol.Report, reply func(status int, body any))
+	Heartbeat(r protocol.Report, reply func(status int, body any))
 }
 
 // requestHandler answers users' requests.
--- a/internal/testkit/loopback.go
+++ b/internal/testkit/loopback.go
@@ -88,15 +88,15 @@
 	f()
 }
 
-// Beat sends a worker's report to the controller.
-func (l *Loopback) Beat(r protocol.Report, reply func(status int, body any)) {
+// Heartbeat sends a worker's report to the controller.
+func (l *Loopback) Heartbeat(r protocol.Report, reply func(status int, body any)) {
 	session := l.sessions[r.Machine]
 	if session == nil {
 		session = &http.Client{Timeout: loopbackTimeout, Transport: &http.Transport{MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1}}
 		l.sessions[r.Machine] = session
 	}
 	go func() {
-		var answer protocol.BeatAnswer
+		var answer protocol.HeartbeatAnswer
 		status, raw := post(session, l.base+"/agent/beat", protocol.Encode(r))
 		switch {
 		case status == http.StatusOK && protocol.Decode(raw, &answer) == nil:
--- a/internal/testkit/meetings_test.go
+++ b/internal/testkit/meetings_test.go
@@ -254,7 +254,7 @@
 	}
 	for ; w.Now() < refusedAt+30*clock.Second; w.Run(w.Now() + 100*clock.Millisecond) {
 		status := 0
-		old.Dispatch.Beat(d.Workers()[0].snapshot(), func(s int, _ any) { status = s })
+		old.Dispatch.Heartbeat(d.Workers()[0].snapshot(), func(s int, _ any) { status = s })
 		w.Run(w.Now() + clock.Millisecond)
 		if status == http.StatusMisdirectedRequest {
 			break
--- a/internal/testkit/scenes_test.go
+++ b/internal/testkit/scenes_test.go
@@ -253,7 +253,7 @@
 	w.Run(w.Now() + 10*clock.Second)
 	heir := d.Nodes[leading(t, d)]
 	for range 3 {
-		heir.Dispatch.Beat(old, func(int, any) {})
+		heir.Dispatch.Heartbeat(old, func(int, any) {})
 		w.Run(w.Now() + 5*clock.Second)
 	}
 	w.Run(w.Now() + 60*clock.Second)
@@ -286,7 +286,7 @@
 			w.Run(w.Now() + clock.Second)
 		}
 		status, redirect := 0, ""
-		lone.Dispatch.Beat(d.Workers()[0].snapshot(), func(s int, body any) {
+		lone.Dispatch.Heartbeat(d.Workers()[0].snapshot(), func(s int, body any) {
 			status = s
 			if r, ok := body.(protocol.Redirect); ok {
 				redirect = r.Node
--- a/internal/testkit/worker.go
+++ b/internal/testkit/worker.go
@@ -86,7 +86,7 @@
 		m.answeredSent = d.World.now
 		m.node = d.World.Rand.IntN(len(d.Nodes))
 		m.watchLease()
-		m.beat()
+		m.reportRegularly()
 	})
 	return m
 }
@@ -165,13 +165,13 @@
 	})
 }
 
-func (m *Worker) beat() {
+func (m *Worker) reportRegularly() {
 	w := m.d.World
 	period := m.d.Settings.Deployment.Workers.Report()
 	w.After(w.Between(period*3/4, period*5/4), func() {
 		if !m.ended {
 			m.do(m.report)
-			m.beat()
+			m.reportRegularly()
 		}
 	})
 }
@@ -232,8 +232,8 @@
 			return
 		}
 		proc := n.proc
-		n.reports.Beat(r, func(status int, body any) {
-			if a, ok := body.(protocol.BeatAnswer); ok {
+		n.reports.Heartbeat(r, func(status int, body any) {
+			if a, ok := body.(protocol.HeartbeatAnswer); ok {
 				m.d.checkLease(n, a.Epoch, a.Orders)
 			}
 			if m.Link.Cut || m.Unheeding || n.Workers.Cut || w.chance(m.Link.Loss) {
@@ -253,7 +253,7 @@
 						return
 					}
 					finish(-1, 0)
-					a := body.(protocol.BeatAnswer)
+					a := body.(protocol.HeartbeatAnswer)
 					if shift != m.shift || a.Epoch < m.epoch {
 						return
 					}
@@ -270,7 +270,7 @@
 		// Nobody waits for what is answered to a copy, which counts for nothing.
 		w.After(w.Between(clock.Second, 3*m.d.Settings.Deployment.Workers.Lease()), func() {
 			if n.proc != nil && n.proc.alive && !n.Workers.Cut && !m.Mute {
-				n.reports.Beat(r, func(int, any) {})
+				n.reports.Heartbeat(r, func(int, any) {})
 			}
 		})
 	}
