--- /dev/null
+++ b/internal/dispatch/cordon.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+
+	"postpoint/internal/clock"
+	"postpoint/internal/fleet"
+	"postpoint/internal/planner"
+)
+
+// uncordon gives the planner back some of what was to be spared and is needed after
+// all, the cheapest kinds first.
+func (d *Dispatch) uncordon(wants []planner.Want, n int) bool {
+	market := d.market()
+	needed := map[fleet.Kind]bool{}
+	var spared []*machine
+	for _, m := range d.roster {
+		if !m.cordoned || m.releasing {
+			continue
+		}
+		k := m.kind()
+		if _, known := needed[k]; !known {
+			needed[k] = market.Uncordon(k, wants)
+		}
+		if needed[k] {
+			spared = append(spared, m)
+		}
+	}
+	slices.SortStableFunc(spared, func(a, b *machine) int { return cmp.Compare(market.Price(a.kind()), market.Price(b.kind())) })
+	for _, m := range spared[:min(n, len(spared))] {
+		m.cordoned = false
+	}
+	return len(spared) > 0
+}
+
+// cordon spares machines of which there are too many, and empties those that have
+// been spared for a while. Each look costs a plan, so that their number depends on
+// what a plan costs.
+func (d *Dispatch) cordon() {
+	if len(d.catalogue) == 0 {
+		return
+	}
+	tries := max(cordonTries, min(len(d.roster)/8, int(cordonCost/max(d.stepCost(), 1))))
+	s := d.snapshot()
+	for _, m := range d.roster {
+		if !m.cordoned || m.releasing || d.now() <= m.cordonedAt+cordonTime || !d.movable(m) || tries == 0 {
+			continue
+		}
+		tries--
+		rest, ok := fleet.Spares(s, m.name)
+		if !ok {
+			continue
+		}
+		s = rest
+		slog.Info("moving tasks off a machine that can be spared", "machine", m.name, "type", m.typ, "spot", m.spot)
+		for id, tasks := range inOrder(m.placed) {
+			for task := range inOrder(tasks) {
+				d.stop(d.jobs[id], task, "spared", "")
+			}
+			d.jobs[id].moved = true
+		}
+	}
+	var names []string
+	names, d.spareBatch = fleet.Cordon(s, tries, d.spareBatch)
+	for _, name := range names {
+		m := d.machines[name]
+		m.cordoned, m.cordonedAt = true, d.now()
+		slog.Debug("machine can be spared", "machine", name, "type", m.typ)
+	}
+}
+
+const (
+	cordonTries = 4
+	// cordonCost is what looking for machines to spare may cost at a time.
+	cordonCost = 12 * clock.Millisecond
+)
+
+// movable tells that all tasks on a machine can be stopped without losing
+// progress, have run for so long that their starts count, and are not likely to
+// end by themselves soon. A gang goes as a whole, and once: it stands on many
+// machines, of which each could ask for it.
+func (d *Dispatch) movable(m *machine) bool {
+	worth := false
+	for id, tasks := range m.placed {
+		j := d.jobs[id]
+		if j.over() || j.Spec.CheckpointS == 0 || j.Spec.Gang() && j.Spec.Tasks > 1 && (j.moved || !d.settled(j)) {
+			return false
+		}
+		for _, p := range tasks {
+			ran := d.ran(m, taskRef{id, p.Task, p.Try})
+			if ran < settledTime || j.stops[p.Task].why != "" {
+				return false
+			}
+			left := j.Spec.EstimateS - ran.Seconds()
+			worth = worth || left > j.Spec.SaveS+movedS
+		}
+	}
+	return worth
+}
+
+// settled tells that all tasks of a gang have run for so long that their starts count.
+func (d *Dispatch) settled(j *job) bool {
+	for _, p := range j.Placed {
+		m := d.machines[p.Machine]
+		if m == nil {
+			return false
+		}
+		if d.ran(m, taskRef{j.Spec.ID, p.Task, p.Try}) < settledTime {
+			return false
+		}
+	}
+	return len(j.Placed) == j.Spec.Tasks
+}
+
+const (
+	settledTime = 32 * clock.Second
+	// movedS is what moving a task costs, in seconds, beyond saving it.
+	movedS = 60
+)
--- /dev/null
+++ b/internal/dispatch/job.go
@@ -0,0 +1,217 @@
+package dispatch
+
+import (
+	"log/slog"
+	"net/http"
+	"slices"
+
+	"postpoint/internal/clock"
+	"postpoint/internal/leadership"
+	"postpoint/internal/ledger"
+	"postpoint/internal/planner"
+	"postpoint/internal/protocol"
+	"postpoint/internal/statestore"
+)
+
+func (d *Dispatch) committed(writes []write, r statestore.Reply[protocol.TxnAnswer]) {
+	for _, w := range writes {
+		w.j.inFlight = false
+	}
+	switch {
+	case r.Status == http.StatusOK:
+		touched := map[string]*machine{}
+		for _, w := range writes {
+			w.j.version, w.j.durable = r.Value.Revision, w.changed
+			w.j.fresh = slices.DeleteFunc(w.j.fresh, func(task int) bool {
+				p, placed := w.j.Placed[task]
+				if placed && !w.j.committed(p) {
+					return false
+				}
+				if m := d.machines[p.Machine]; placed && m != nil {
+					touched[m.name] = m
+				}
+				return true
+			})
+		}
+		if !d.strained() {
+			for _, m := range inOrder(touched) {
+				d.pushOrders(m)
+			}
+		}
+	case r.Status == http.StatusConflict && slices.Contains(r.Value.Failed, leadership.Key):
+		slog.Info("the leader's key changed hands", "epoch", d.term.Epoch)
+		d.term.ValidUntil = 0
+		d.deposed(d.term.Epoch + 1)
+		return
+	case r.Status == http.StatusTooManyRequests || r.Status == http.StatusServiceUnavailable:
+		// Not executed: the same changes go again after a pause.
+		d.pauseUntil = d.now() + retryDelay
+	case r.Unknown() || r.Status >= http.StatusInternalServerError:
+		// It may have been carried out, or may be seconds from now. Until something
+		// else is written at these versions nothing that it says may be forgotten: a
+		// place that a read doesn't show yet would be given away and then be there all
+		// the same. So it goes again as it stands by then; only one of the two can apply,
+		// and if it was the first, the second is refused and the records are read.
+		slog.Info("a change has no answer, it goes again", "status", r.Status, "reason", r.Value.Error, "records", len(writes))
+		d.pauseUntil = d.now() + retryDelay
+	default:
+		// Refused because somebody else changed a record: only the records tell.
+		if r.Status != http.StatusConflict {
+			slog.Error("a change is refused, reading the records", "status", r.Status, "reason", r.Value.Error, "records", len(writes))
+			d.pauseUntil = d.now() + retryDelay
+		}
+		for _, w := range writes {
+			if r.Status != http.StatusConflict || slices.Contains(r.Value.Failed, ledger.Key(w.j.Spec.ID)) {
+				w.j.reread = true
+			}
+		}
+	}
+	for _, w := range writes {
+		if e := w.j.followedEvent; e != nil {
+			w.j.followedEvent = nil
+			d.adopt(e.Put, e.Value, e.Version)
+		}
+		d.retire(w.j)
+	}
+}
+
+// job is a record with what this leader knows beyond it.
+type job struct {
+	*ledger.Job
+	version int64 // the key's version that the last durable content has
+
+	changed       int // counts changes of the content
+	durable       int // the count that is in the record
+	inFlight      bool
+	reread        bool // the record must be read before anything else happens
+	reading       bool
+	followedEvent *protocol.Event // what was followed while a change was in flight
+	// dirtyAt is since when the content differs from the record.
+	dirtyAt clock.Micros
+
+	// proposed holds, for each placement, the count of changes at its proposal:
+	// it is in the record once the durable count has reached that.
+	proposed map[int]int
+	// fresh are the tasks whose placements aren't in the record yet.
+	fresh []int
+	// running is what the planner is shown, kept until a placement changes.
+	running      []planner.Running
+	runningSince []clock.Micros
+	runningStale bool
+	// brokenTry is a gang's try that can't be completed any more.
+	brokenTry int64
+	failures  int
+	notBefore clock.Micros
+	avoid     map[string]bool
+	// cancelled tells that a user was told so; the record may still be behind.
+	cancelled bool
+	// cancelledAt is when that was, or somewhat earlier. It may lie before this process
+	// began, and so be negative on its steady clock.
+	cancelledAt clock.Micros
+	stops       map[int]stop
+	returning   bool
+	moved       bool // off a machine that could be spared
+	// wantedAt is when a plan last wanted machines for it, wantedFrom since when all did.
+	wantedFrom, wantedAt clock.Micros
+}
+
+type stop struct {
+	grace float64
+	why   string
+}
+
+// committed tells that a placement is in the record: only then is it acted on.
+func (j *job) committed(p ledger.Placement) bool { return j.proposed[p.Task] <= j.durable }
+
+// over tells that nothing of the job may start or stay any more.
+func (j *job) over() bool { return j.Final() || j.cancelled }
+
+func (j *job) clean() bool { return !j.inFlight && !j.reread && j.changed == j.durable }
+
+// touch notes a change of the content.
+func (d *Dispatch) touch(j *job) {
+	if j.changed == j.durable {
+		j.dirtyAt = d.now()
+	}
+	j.changed++
+	j.runningStale = true
+}
+
+// place decides a placement; it counts from now and acts once it is durable.
+func (d *Dispatch) place(j *job, p ledger.Placement) {
+	j.Placed[p.Task] = p
+	d.index(j, p)
+	d.touch(j)
+	j.proposed[p.Task] = j.changed
+	j.fresh = append(j.fresh, p.Task)
+}
+
+// unplace frees a place, which only proof allows: see docs/rules.md.
+func (d *Dispatch) unplace(j *job, p ledger.Placement) {
+	delete(j.Placed, p.Task)
+	delete(j.stops, p.Task)
+	delete(j.proposed, p.Task)
+	d.unindex(j, p)
+	d.touch(j)
+	if !j.Done.Has(p.Task) {
+		// It is to run again, under another try than any before.
+		j.NextTry = max(j.NextTry, p.Try+1)
+	}
+	d.wake()
+}
+
+func (d *Dispatch) unplaceAll(j *job) {
+	for _, p := range inOrder(j.Placed) {
+		d.unindex(j, p)
+	}
+}
+
+// retire drops a job that is over and nowhere any more.
+func (d *Dispatch) retire(j *job) {
+	if j.Final() && len(j.Placed) == 0 && j.clean() {
+		d.retired[j.Spec.ID] = j.version
+		delete(d.jobs, j.Spec.ID)
+	}
+}
+
+// startFailed notes the cause for the user and the operator, and holds a job
+// that fails again and again back for longer each time.
+func (d *Dispatch) startFailed(m *machine, j *job, p ledger.Placement, cause string, pause clock.Micros) {
+	if j.failures == 0 || j.Cause == "" {
+		slog.Info("start failed", "job", j.Spec.ID, "task", p.Task, "machine", m.name, "cause", cause)
+	}
+	j.Cause = cause + " on " + m.name
+	if pause == 0 {
+		return
+	}
+	j.failures++
+	if j.failures > 3 {
+		pause *= clock.Micros(1) << min(j.failures-3, 6)
+	}
+	j.notBefore = max(j.notBefore, d.now()+min(pause, 60*clock.Second))
+	if len(j.avoid) > 8 {
+		// It failed wherever it went: the machines aren't at fault.
+		clear(j.avoid)
+	}
+}
+
+// returnRoom lets those who made room for a job have it back first.
+func (d *Dispatch) returnRoom(j *job) {
+	for _, id := range j.Lenders {
+		if l := d.jobs[id]; l != nil {
+			l.returning = true
+		}
+	}
+}
+
+// thisTry is the try for tasks placed now: none of them ever had it, since the
+// next try rises above that of each task that has to run again. A gang that is to
+// be completed goes on with the try of its other tasks.
+func (j *job) thisTry() int64 {
+	if j.Spec.Gang() {
+		for _, p := range j.Placed {
+			return p.Try
+		}
+	}
+	return j.NextTry
+}
--- /dev/null
+++ b/internal/dispatch/machine.go
@@ -0,0 +1,213 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"postpoint/internal/clock"
+	"postpoint/internal/fleet"
+	"postpoint/internal/ledger"
+	"postpoint/internal/planner"
+	"postpoint/internal/protocol"
+)
+
+// taskRef is a try of a task.
+type taskRef struct {
+	job  string
+	task int
+	try  int64
+}
+
+// machine is one worker as it was last heard of.
+type machine struct {
+	name, addr, typ, zone string
+	spot                  bool
+
+	seen bool // a report was heard in this term
+	// settled tells that every placed task stood in the last report and none of
+	// them had ended: the same report again is no news.
+	settled               bool
+	shift, counter, epoch int64
+	tasks                 map[taskRef]protocol.TaskReport
+	reported              []protocol.TaskReport // what tasks was made from
+	// ended counts the tasks that are only to be forgotten, since the last report with
+	// news; forgetAt is when they are at the latest.
+	ended               int
+	forgetAt            clock.Micros
+	since               map[taskRef]clock.Micros // when a task was first seen running
+	heardAt, answeredAt clock.Micros
+	shiftAt             clock.Micros // when its present shift was first heard of
+	recallAt            clock.Micros // when the cloud takes it; 0: not announced
+	heartbeatShift      int64
+	heartbeatCounter    int64
+	expired             bool // its lease has surely ended: only a newer shift counts
+	// answersLost machines report, but lose one session after the other though they
+	// are answered: answers don't reach them.
+	answersLost  bool
+	challengedAt clock.Micros // when it was last asked whether it has started over
+
+	listed    bool
+	firstSeen clock.Micros
+	listedAt  clock.Micros
+	status    string
+
+	placed map[string]map[int]ledger.Placement // by job
+	// view is the machine as the planner is shown it, kept until anything that
+	// it depends on changes.
+	view      planner.Machine
+	viewStale bool
+	strange   bool // something of unknown size runs there
+	// pullGB was still to be fetched at pulledAt.
+	pullGB   float64
+	pulledAt clock.Micros
+	sent     map[taskRef]*sent
+	// calling is a direct command on its way; callAgain asks for another.
+	calling, callAgain bool
+	syncedAt           clock.Micros // when the last empty command was sent
+
+	pace       float64 // its run times against the classes' averages
+	paced      int     // how many runs that is drawn from
+	images     []image
+	fullUntil  clock.Micros
+	faults     map[string]bool // jobs that failed here
+	quarantine bool
+	cordonedAt clock.Micros
+	spareAt    clock.Micros // when a place on it was last to be kept free
+	cordoned   bool         // takes no new tasks, so that it empties: see fleet.Cordon
+	releasing  bool
+	overdue    bool // holds tasks of a cancelled job that don't end
+	idleSince  clock.Micros
+}
+
+// sent is what is known of a start's way to the worker: as long as one may
+// still arrive, the try must not be forgotten, or it would start again.
+type sent struct {
+	inCall      bool
+	inHeartbeat bool
+	uncertain   bool
+	startAt     clock.Micros
+	killAt      clock.Micros
+}
+
+type image struct {
+	name string
+	gb   float64
+}
+
+// index notes a placement at its machine.
+func (d *Dispatch) index(j *job, p ledger.Placement) *machine {
+	m := d.machine(p.Machine)
+	m.viewStale, m.settled = true, false
+	if m.placed[j.Spec.ID] == nil {
+		m.placed[j.Spec.ID] = map[int]ledger.Placement{}
+	}
+	m.placed[j.Spec.ID][p.Task] = p
+	return m
+}
+
+func (d *Dispatch) unindex(j *job, p ledger.Placement) {
+	m := d.machines[p.Machine]
+	if m == nil {
+		return
+	}
+	m.viewStale = true
+	delete(m.placed[j.Spec.ID], p.Task)
+	if len(m.placed[j.Spec.ID]) == 0 {
+		delete(m.placed, j.Spec.ID)
+	}
+	if len(m.placed) == 0 {
+		m.idleSince = d.now()
+	}
+}
+
+func (d *Dispatch) machine(name string) *machine {
+	m := d.machines[name]
+	if m == nil {
+		m = &machine{name: name, addr: d.addresses[name], firstSeen: d.now(), idleSince: d.now(),
+			tasks: map[taskRef]protocol.TaskReport{}, since: map[taskRef]clock.Micros{},
+			placed: map[string]map[int]ledger.Placement{}, sent: map[taskRef]*sent{}, faults: map[string]bool{}, viewStale: true}
+		d.machines[name] = m
+		at, _ := slices.BinarySearchFunc(d.roster, name, func(x *machine, name string) int { return cmp.Compare(x.name, name) })
+		d.roster = slices.Insert(slices.Clone(d.roster), at, m)
+	}
+	return m
+}
+
+func (m *machine) kind() fleet.Kind { return fleet.Kind{Type: m.typ, Zone: m.zone, Spot: m.spot} }
+
+// busy tells that something runs there, whether or not a record knows it.
+func (d *Dispatch) busy(m *machine) bool {
+	for _, t := range m.tasks {
+		if t.Status != protocol.TaskExited {
+			return true
+		}
+	}
+	return false
+}
+
+// renewed tells that the machine's lease is being renewed: one that only answers
+// direct commands loses whatever it is given when its lease ends.
+func (d *Dispatch) renewed(m *machine) bool {
+	return m.answeredAt != 0 && d.withinTwoReports(m.answeredAt)
+}
+
+// heardRecently tells that a machine was heard of about as often as it should be.
+func (d *Dispatch) heardRecently(m *machine) bool {
+	return m.seen && d.withinTwoReports(m.heardAt)
+}
+
+// withinTwoReports tells that something that every report repeats was no longer ago than two of
+// them may take.
+func (d *Dispatch) withinTwoReports(at clock.Micros) bool {
+	return d.now() < at+2*d.set.Deployment.Workers.Report()+2*clock.Second
+}
+
+// sameTasks tells that a report brings no news of the machine's tasks.
+func (m *machine) sameTasks(tasks []protocol.TaskReport) bool {
+	if len(tasks) != len(m.tasks) {
+		return false
+	}
+	if len(tasks) == 0 || len(m.reported) == len(tasks) && &m.reported[0] == &tasks[0] {
+		return true // the very list of the last report: see protocol.ReportDecoder
+	}
+	for _, t := range tasks {
+		id, task, ok := protocol.ParseTask(t.Task)
+		if !ok {
+			return false
+		}
+		if known, there := m.tasks[taskRef{id, task, t.Try}]; !there || known.Status != t.Status {
+			return false
+		}
+	}
+	return true
+}
+
+// synced tells that the worker obeys nobody older any more: what its reports
+// lack is not there, and what an older leader sent can't arrive.
+func (d *Dispatch) synced(m *machine) bool { return m.seen && !m.expired && m.epoch == d.term.Epoch }
+
+// ran is how long a try has been seen running on a machine.
+func (d *Dispatch) ran(m *machine, ref taskRef) clock.Micros {
+	if since := m.since[ref]; since != 0 {
+		return d.now() - since
+	}
+	return 0
+}
+
+func (m *machine) hasImage(name string) bool {
+	return slices.ContainsFunc(m.images, func(i image) bool { return i.name == name })
+}
+
+// sentOf is what is known of a try's orders.
+func (m *machine) sentOf(ref taskRef) *sent {
+	s := m.sent[ref]
+	if s == nil {
+		s = &sent{}
+		m.sent[ref] = s
+	}
+	return s
+}
+
+func compareRefs(a, b taskRef) int {
+	return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.task, b.task), cmp.Compare(a.try, b.try))
+}
--- /dev/null
+++ b/internal/dispatch/orders.go
@@ -0,0 +1,235 @@
+package dispatch
+
+import (
+	"net/http"
+	"slices"
+
+	"postpoint/internal/clock"
+	"postpoint/internal/ledger"
+	"postpoint/internal/protocol"
+	"postpoint/internal/transport"
+)
+
+// command sends a direct command, one at a time to a machine. Its answer, if there
+// is one, is heard before the next goes out.
+func (d *Dispatch) command(m *machine, shift int64, orders []protocol.Order, done func(status int, answer *protocol.Report)) {
+	m.calling, m.callAgain = true, false
+	epoch := d.term.Epoch
+	d.agent.Commands(m.addr, protocol.Commands{Epoch: epoch, Shift: shift, Orders: orders}, d.actsUntil(), func(status int, r protocol.Report) {
+		if d.term.Epoch != epoch || d.machines[m.name] != m {
+			return
+		}
+		m.calling = false
+		var answer *protocol.Report
+		if (status == http.StatusOK || status == http.StatusConflict) && r.Machine == m.name {
+			answer = &r
+		}
+		done(status, answer)
+		if answer != nil {
+			d.observe(m, r)
+		}
+		if m.callAgain {
+			d.pushOrders(m)
+		}
+	})
+}
+
+// stopping says whether and how a placed task is to be stopped.
+func (d *Dispatch) stopping(j *job, p ledger.Placement) *stop {
+	if j.over() {
+		return &stop{why: "over"}
+	}
+	if s, ok := j.stops[p.Task]; ok {
+		return &s
+	}
+	if j.Spec.Gang() && len(j.Placed) < j.Spec.Tasks && !d.completable(j) {
+		// A part of the gang is gone; the next attempt needs all places free.
+		return &stop{why: "gang broken"}
+	}
+	return nil
+}
+
+// completable tells that a gang which lost tasks hasn't started, so that
+// replacements with the same try complete it. What a lost task's machine did
+// last isn't known, but had the gang started, the others would run or have
+// ended for want of a peer by the time the loss is proven.
+func (d *Dispatch) completable(j *job) bool {
+	if !j.Spec.Gang() || len(j.Placed) == 0 || len(j.stops) > 0 {
+		return false
+	}
+	try := int64(0)
+	for _, p := range j.Placed {
+		m := d.machines[p.Machine]
+		if p.Try <= j.brokenTry || try != 0 && p.Try != try || m == nil || !d.synced(m) || !d.renewed(m) || m.recallAt != 0 {
+			return false
+		}
+		try = p.Try
+		if t, there := m.tasks[taskRef{j.Spec.ID, p.Task, p.Try}]; there && t.Status != protocol.TaskFetching && t.Status != protocol.TaskWaiting {
+			return false
+		}
+	}
+	return true
+}
+
+// orders is what the worker should do now, given its last report. Orders can
+// be repeated; heartbeat answers carry all, direct commands only what is due. Without the
+// lease there is nothing but the ends of what is cancelled.
+func (d *Dispatch) orders(m *machine, heartbeat bool) []protocol.Order {
+	if d.asOrdered(m) {
+		return []protocol.Order{}
+	}
+	orders := append([]protocol.Order{}, d.endings(m, heartbeat)...)
+	if !d.leads() || !d.synced(m) {
+		return orders // a worker's answer to the new epoch comes first
+	}
+	now := d.now()
+	// An order just sent by one way isn't sent again by the other.
+	due := func(at clock.Micros) bool { return at == 0 || now-at >= repeatTime }
+	for id, tasks := range inOrder(m.placed) {
+		j := d.jobs[id]
+		if j == nil || j.over() {
+			// Nothing of a job that is over is started, not even to be stopped at once:
+			// while a start may still arrive, its place is kept until the session ends.
+			continue
+		}
+		for _, p := range inOrder(tasks) {
+			// Commit before act: only what the record holds.
+			if !j.committed(p) || p.Shift != m.shift || j.reread {
+				continue
+			}
+			ref := taskRef{id, p.Task, p.Try}
+			t, there := m.tasks[ref]
+			if there && t.Status == protocol.TaskExited {
+				continue
+			}
+			st := d.stopping(j, p)
+			s := m.sentOf(ref)
+			name := protocol.TaskName(id, p.Task)
+			if !there && (st == nil || d.mayArrive(m, ref)) && due(s.startAt) {
+				// With a stop wanted, a start that may still arrive is made to
+				// arrive now: it then has no effect later.
+				orders = append(orders, protocol.Order{Verb: protocol.VerbStart, Task: name, Try: p.Try})
+				s.startAt = now
+				s.inHeartbeat = s.inHeartbeat || heartbeat
+				s.inCall = s.inCall || !heartbeat
+			}
+			if st != nil && (there || d.mayArrive(m, ref)) && due(s.killAt) {
+				orders = append(orders, protocol.Order{Verb: protocol.VerbStop, Task: name, Try: p.Try, GraceS: st.grace})
+				s.killAt = now
+			}
+		}
+	}
+	return append(orders, d.looseOrders(m, heartbeat, len(orders) > 0)...)
+}
+
+// looseOrders stops and forgets what is on a machine and in no record. Each forgotten
+// task is a change that the worker reports at once, and most of what a strained leader
+// is told: tasks that have ended are forgotten several at a time, with other orders, or
+// after a while.
+func (d *Dispatch) looseOrders(m *machine, heartbeat, others bool) []protocol.Order {
+	var loose []taskRef
+	for ref, t := range m.tasks {
+		j := d.jobs[ref.job]
+		if d.unreadable[ref.job] || j != nil && j.over() && t.Status != protocol.TaskExited {
+			continue
+		}
+		if p, ok := m.placed[ref.job][ref.task]; !ok || p.Try != ref.try {
+			loose = append(loose, ref)
+		}
+	}
+	slices.SortFunc(loose, compareRefs)
+	var orders, forgets []protocol.Order
+	m.ended = 0
+	for _, ref := range loose {
+		t, j := m.tasks[ref], d.jobs[ref.job]
+		name := protocol.TaskName(ref.job, ref.task)
+		if t.Status != protocol.TaskExited {
+			// No record has it: whatever it is, nobody needs it.
+			orders = append(orders, protocol.Order{Verb: protocol.VerbStop, Task: name, Try: ref.try})
+			continue
+		}
+		m.ended++
+		if heartbeat && (j == nil || j.clean()) && !d.mayArrive(m, ref) && !d.mayRepeat(m, ref, t) {
+			// The outcome is durable and no start can bring the try back.
+			forgets = append(forgets, protocol.Order{Verb: protocol.VerbForget, Task: name, Try: ref.try})
+		}
+	}
+	if !heartbeat || m.ended == 0 {
+		return orders
+	}
+	now := d.now()
+	if m.forgetAt == 0 {
+		m.forgetAt = now + forgetDelay
+	}
+	if others || len(orders) > 0 || len(forgets) >= forgetBatch || now >= m.forgetAt {
+		m.forgetAt = now + forgetDelay
+		return append(orders, forgets...)
+	}
+	return orders
+}
+
+const (
+	forgetBatch = 4
+	forgetDelay = 8 * clock.Second
+)
+
+// asOrdered tells that a machine runs exactly what it is to run, so that there is
+// nothing to order: most reports are such, and sorting what is placed only to find that
+// out was a tenth of a leader's time.
+func (d *Dispatch) asOrdered(m *machine) bool {
+	if !m.settled {
+		return false
+	}
+	placed := 0
+	for id, tasks := range m.placed {
+		j := d.jobs[id]
+		if j == nil || j.over() || len(j.stops) > 0 || j.Spec.Gang() && len(j.Placed) < j.Spec.Tasks {
+			return false
+		}
+		placed += len(tasks)
+	}
+	// All that is placed was reported: as many tasks as that are those and no others, but
+	// for some that are to be forgotten later.
+	return placed+m.ended == len(m.tasks) && (m.ended == 0 || m.ended < forgetBatch && d.now() < m.forgetAt)
+}
+
+// pushOrders sends what is due directly, without waiting for the next report.
+func (d *Dispatch) pushOrders(m *machine) {
+	leads := d.leads()
+	if !leads && !d.keeps() || m.addr == "" || m.expired {
+		return
+	}
+	if m.calling {
+		m.callAgain = true
+		return
+	}
+	orders := d.orders(m, false)
+	if len(orders) == 0 && (!leads || d.synced(m) || m.syncedAt != 0 && d.now() < m.syncedAt+remindTime) {
+		return
+	}
+	shift := m.shift
+	if !m.seen {
+		shift = 1 // a wrong guess is answered with the report all the same
+	}
+	if !d.synced(m) {
+		m.syncedAt = d.now()
+	}
+	d.command(m, shift, orders, func(status int, _ *protocol.Report) {
+		for _, o := range orders {
+			if o.Verb != protocol.VerbStart {
+				continue
+			}
+			id, task, _ := protocol.ParseTask(o.Task)
+			if s := m.sent[taskRef{id, task, o.Try}]; s != nil {
+				s.inCall = false
+				// 409, 400 and what never left execute nothing; silence can mean a
+				// late arrival.
+				s.uncertain = s.uncertain || status != http.StatusOK && status != http.StatusConflict &&
+					status != http.StatusBadRequest && status != transport.NotSent
+			}
+		}
+	})
+}
+
+// repeatTime is after which an order that seems not to have arrived is repeated.
+const repeatTime = clock.Second
--- /dev/null
+++ b/internal/dispatch/reconcile.go
@@ -0,0 +1,239 @@
+package dispatch
+
+import (
+	"log/slog"
+
+	"postpoint/internal/clock"
+	"postpoint/internal/ledger"
+	"postpoint/internal/protocol"
+)
+
+// observe takes a report if it is newer than what is known.
+func (d *Dispatch) observe(m *machine, r protocol.Report) {
+	if m.seen && (r.Shift < m.shift || r.Shift == m.shift && r.Counter <= m.counter) {
+		return
+	}
+	if m.expired && r.Shift <= m.shift {
+		return // sent before the lease ended, whenever it arrives
+	}
+	if r.Epoch > d.term.Epoch {
+		d.deposed(r.Epoch)
+	}
+	if !m.seen {
+		slog.Info("machine reports", "machine", m.name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "tasks", len(r.Tasks))
+		m.idleSince = d.now()
+	}
+	if m.seen && r.Shift > m.shift {
+		// Its session ran out. Had the latest answer to it arrived, it would not
+		// have yet: a machine whose reports come through while answers and
+		// commands don't looks alive and loses its tasks lease after lease.
+		answerLost := m.answeredAt != 0 && d.now() < m.answeredAt+d.set.Deployment.Workers.Lease()
+		if answerLost && !m.answersLost {
+			slog.Info("machine loses its session though it is answered", "machine", m.name, "shift", r.Shift)
+		} else if answerLost {
+			d.release(m, "answers don't reach it")
+		}
+		m.answersLost = m.answersLost || answerLost
+	}
+	if r.Shift > m.shift {
+		clear(m.sent)
+		clear(m.since)
+		m.expired = false
+	}
+	if !m.seen || r.Shift > m.shift {
+		m.shiftAt = d.now()
+	}
+	same := m.settled && r.Shift == m.shift && r.Epoch == m.epoch && m.sameTasks(r.Tasks)
+	if !same {
+		m.viewStale = true
+	}
+	m.seen = true
+	m.addr, m.typ, m.zone, m.spot = r.Address, r.Type, r.Zone, r.Spot
+	m.shift, m.counter, m.epoch = r.Shift, r.Counter, r.Epoch
+	m.heardAt = d.now()
+	if w := d.set.Deployment.Workers; m.answersLost && m.heardAt > m.shiftAt+w.Lease()+leaseMargin {
+		m.answersLost = false // this session has outlasted its first lease: answers arrive again
+	}
+	m.recallAt = 0
+	if r.RecallS != nil {
+		m.recallAt = d.now() + clock.FromSeconds(*r.RecallS)
+	}
+	if same {
+		return
+	}
+	clear(m.tasks)
+	m.reported, m.ended = r.Tasks, 0
+	for _, t := range r.Tasks {
+		id, task, ok := protocol.ParseTask(t.Task)
+		if !ok {
+			continue
+		}
+		m.tasks[taskRef{id, task, t.Try}] = t
+	}
+	for ref := range m.since {
+		if _, ok := m.tasks[ref]; !ok {
+			delete(m.since, ref)
+		}
+	}
+	d.reconcile(m)
+	for ref := range m.sent {
+		_, there := m.tasks[ref]
+		_, placed := m.placed[ref.job][ref.task]
+		if !there && !placed && !d.mayArrive(m, ref) {
+			delete(m.sent, ref)
+		}
+	}
+}
+
+// reconcile draws from the last report what it proves about placements.
+func (d *Dispatch) reconcile(m *machine) {
+	m.settled = true
+	for id, tasks := range inOrder(m.placed) {
+		j := d.jobs[id]
+		if j == nil || j.reread {
+			m.settled = false
+			continue
+		}
+		for _, p := range inOrder(tasks) {
+			if p.Shift < m.shift {
+				slog.Debug("place lost with the worker's lease", "job", id, "task", p.Task, "machine", m.name)
+				d.unplace(j, p)
+				continue
+			}
+			if p.Shift > m.shift {
+				m.settled = false
+				if d.synced(m) {
+					// It was in a later session when this was placed.
+					d.release(m, "it has started over")
+				}
+				continue
+			}
+			ref := taskRef{id, p.Task, p.Try}
+			t, there := m.tasks[ref]
+			switch {
+			case there && t.Status == protocol.TaskExited:
+				d.exited(m, j, p, t)
+			case there:
+				d.running(m, j, ref, t)
+			case d.stopping(j, p) != nil && j.committed(p) && d.synced(m) && !d.mayArrive(m, ref):
+				d.unplace(j, p)
+			default:
+				m.settled = false
+			}
+		}
+	}
+	d.wake()
+}
+
+// mayArrive tells that a start of this try may still reach the worker.
+func (d *Dispatch) mayArrive(m *machine, ref taskRef) bool {
+	s := m.sent[ref]
+	return s != nil && (s.inCall || s.inHeartbeat || s.uncertain)
+}
+
+// mayRepeat tells that a late copy of a start that was carried out could do
+// harm: the task is to run again, and a worker that has forgotten this try would
+// start it where nobody expects it. What was started in earlier terms is safe,
+// since workers refuse older epochs, and so is what is done, since it doesn't
+// run again. Only a machine with very many such tries takes the risk.
+func (d *Dispatch) mayRepeat(m *machine, ref taskRef, t protocol.TaskReport) bool {
+	return t.Cause != protocol.CauseDone && m.sent[ref] != nil && len(m.tasks) < maxRemembered
+}
+
+// maxRemembered keeps reports well within their size limit.
+const maxRemembered = 400
+
+func (d *Dispatch) running(m *machine, j *job, ref taskRef, t protocol.TaskReport) {
+	if t.Status == protocol.TaskFetching {
+		return
+	}
+	if m.since[ref] == 0 {
+		d.imageSeen(m, j.Spec.Image, j.Spec.ImageGB)
+		if t.Status == protocol.TaskRunning {
+			j.brokenTry = max(j.brokenTry, ref.try) // a gang that runs can't be completed
+			m.since[ref] = d.now()
+			j.runningStale = true
+			j.failures = 0
+			if debugging() {
+				slog.Debug("task running", "job", ref.job, "class", j.Spec.Class, "task", ref.task, "machine", m.name, "type", m.typ,
+					"since_submission_s", (d.mailbox.OfDay() - clock.Micros(j.SubmittedAt)).Seconds())
+			}
+		}
+	}
+}
+
+// imageSeen keeps a guess at the machine's image cache: the most recently used
+// images, as many as there is room for.
+func (d *Dispatch) imageSeen(m *machine, name string, gb float64) {
+	m.viewStale = true
+	images := []image{{name, gb}}
+	used := gb
+	for _, i := range m.images {
+		if i.name != name && used+i.gb <= d.types[m.typ].CacheGB {
+			used += i.gb
+			images = append(images, i)
+		}
+	}
+	m.images = images
+}
+
+// exited handles the end of a placed try.
+func (d *Dispatch) exited(m *machine, j *job, p ledger.Placement, t protocol.TaskReport) {
+	id := j.Spec.ID
+	ref := taskRef{id, p.Task, p.Try}
+	ran := d.ran(m, ref)
+	if debugging() {
+		slog.Debug("task exited", "job", id, "task", p.Task, "try", p.Try, "machine", m.name, "cause", t.Cause, "ran_s", ran.Seconds())
+	}
+	if t.Cause == protocol.CauseDone && !j.Final() {
+		if j.Spec.Gang() {
+			// They complete together: if one is done, all are.
+			for task := range j.Spec.Tasks {
+				j.Done.Add(task)
+			}
+		} else {
+			j.Done.Add(p.Task)
+		}
+	}
+	d.unplace(j, p)
+	if j.over() {
+		return
+	}
+	switch t.Cause {
+	case protocol.CauseDone, protocol.CauseStopped, protocol.CausePeers, protocol.CauseAlone:
+		j.brokenTry = max(j.brokenTry, p.Try)
+	}
+	switch t.Cause {
+	case protocol.CauseDone:
+		j.failures, j.Cause = 0, ""
+		d.notePace(m, &j.Spec, ran)
+		if j.Done.Len() == j.Spec.Tasks {
+			j.Status = protocol.StatusDone
+			d.returnRoom(j)
+		}
+	case protocol.CauseStopped, protocol.CausePeers:
+	case protocol.CauseAlone:
+		d.startFailed(m, j, p, t.Cause, 0)
+	case protocol.CauseError:
+		m.faults[id] = true
+		j.avoid[m.name] = true
+		d.startFailed(m, j, p, t.Cause, clock.Second)
+		d.judge(m)
+	case protocol.CauseNoRoom:
+		m.fullUntil = d.now() + 5*clock.Second
+		d.startFailed(m, j, p, t.Cause, 0)
+	case protocol.CauseBusy:
+		m.fullUntil = d.now() + 2*clock.Second
+		d.startFailed(m, j, p, t.Cause, clock.Second)
+	default:
+		d.startFailed(m, j, p, t.Cause, 2*clock.Second)
+	}
+}
+
+// judge sets a machine aside on which several jobs failed that run elsewhere.
+func (d *Dispatch) judge(m *machine) {
+	if len(m.faults) >= 2 && !m.quarantine {
+		m.quarantine = true
+		slog.Info("machine set aside, several jobs failed on it", "machine", m.name, "type", m.typ, "jobs", len(m.faults))
+	}
+}
--- /dev/null
+++ b/internal/dispatch/snapshot.go
@@ -0,0 +1,308 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"postpoint/internal/clock"
+	"postpoint/internal/fleet"
+	"postpoint/internal/planner"
+	"postpoint/internal/protocol"
+)
+
+func (d *Dispatch) snapshot() planner.Snapshot {
+	now := d.now()
+	s := planner.Snapshot{Teams: map[string]planner.Team{}}
+	for _, t := range d.set.Deployment.Teams {
+		s.Teams[t.Name] = planner.Team{
+			Limit:     planner.Amounts{Cpus: t.CpusMax, Gpus: t.GpusMax},
+			Guarantee: planner.Amounts{Cpus: t.Cpus, Gpus: t.Gpus},
+		}
+	}
+	// One snapshot is done with before the next is taken.
+	s.Machines = slices.Grow(d.views[:0], len(d.roster))
+	for _, m := range d.roster {
+		if pm, ok := d.planned(m, now); ok {
+			s.Machines = append(s.Machines, pm)
+		}
+	}
+	d.views = s.Machines
+	limit := int(d.set.Deployment.State.ValueKb * 1024)
+	evictions := d.evictionsPossible()
+	for _, j := range inOrder(d.jobs) {
+		team := s.Teams[j.Spec.Team]
+		needs := planner.Needs(&j.Spec)
+		// A place counts from its proposal until it is proven empty.
+		team.Used = team.Used.Plus(needs.Times(float64(len(j.Placed))))
+		if !j.Final() {
+			left := needs.Times(float64(j.Spec.Tasks - j.Done.Len()))
+			team.BacklogS += j.Spec.EstimateS * left.Share(team.Limit)
+		}
+		s.Teams[j.Spec.Team] = team
+		if j.over() || j.reread {
+			continue
+		}
+		pj := planner.Job{ID: j.Spec.ID, Spec: &j.Spec, Rank: protocol.RankOf(j.Spec.Rank), SubmittedAt: j.SubmittedAt,
+			Returning: j.returning, Waiting: now < j.notBefore, MayEvict: j.failures < 3, Avoid: j.avoid}
+		pj.Tier, pj.SlackS = d.aims(j)
+		pj.StartAim = d.startAim(j.Spec.Class) > 0
+		pj.StartS = d.startLeft(j)
+		pj.Unmet = j.wantedAt != 0 && now > j.wantedFrom+unmetTime && now <= j.wantedAt+wantedGap
+		if missing := j.PendingCount() > 0; missing && (!j.Spec.Gang() || len(j.Placed) == 0 || d.completable(j)) {
+			pj.Limit = j.Room(limit)
+			pj.Pending = j.Pending(min(planTasks, pj.Limit))
+			if j.Spec.Gang() {
+				pj.Pending = j.Pending(j.Spec.Tasks)
+				pj.Avoid = d.leftOn(j)
+			}
+		}
+		if len(pj.Pending) == 0 {
+			j.returning = false
+		}
+		pj.Running = d.runningTasks(j, now, evictions)
+		s.Jobs = append(s.Jobs, pj)
+	}
+	d.markWithin(&s)
+	hurry(&s)
+	s.Jobs = append(s.Jobs, d.expected()...)
+	markBorrowed(&s)
+	return s
+}
+
+// sparePrefix marks places that are kept free; no job's id begins like this.
+const sparePrefix = "spare/"
+
+// expected are places to keep free for jobs that are about to come and are to
+// start sooner than a machine boots. They stand in the queue behind the jobs
+// that can still start in time and before all others.
+func (d *Dispatch) expected() []planner.Job {
+	var jobs []planner.Job
+	for class, u := range inOrder(d.classSeen) {
+		if !d.startsSoon(class) || d.now() > u.at+2*rateTime {
+			continue
+		}
+		spec := u.spec
+		spec.Shape, spec.Tasks = protocol.ShapeArray, u.spec.Tasks*(1+int(float64(len(u.arrivals))*spareS/rateTime.Seconds()))
+		j := planner.Job{ID: sparePrefix + class, Spec: &spec, Rank: protocol.RankOf(spec.Rank), SubmittedAt: math.MaxInt64,
+			Tier: planner.StartsInTime, StartS: math.MaxFloat64, SlackS: math.MaxFloat64, Limit: spec.Tasks}
+		for t := range spec.Tasks {
+			j.Pending = append(j.Pending, t)
+		}
+		jobs = append(jobs, j)
+	}
+	return jobs
+}
+
+// spareS is how long, in seconds, the arrivals are for which places are kept.
+const spareS = 12.0
+
+// hurry moves the late work of teams up whose limits hold them back for longer
+// than all the rest will take: it decides when everything is done.
+func hurry(s *planner.Snapshot) {
+	var whole planner.Amounts
+	for _, m := range s.Machines {
+		whole = whole.Plus(m.Whole)
+	}
+	rest := 0.0
+	for i := range s.Jobs {
+		j := &s.Jobs[i]
+		rest += j.Spec.EstimateS * planner.Needs(j.Spec).Times(float64(len(j.Pending)+len(j.Running))).Share(whole)
+	}
+	for i := range s.Jobs {
+		if j := &s.Jobs[i]; j.Tier == planner.TooLate && s.Teams[j.Spec.Team].BacklogS > 1.5*rest {
+			j.Tier, j.SlackS = planner.EndsInTime, 0
+		}
+	}
+}
+
+// leftOn adds to the machines that a gang avoids those that still report an
+// ended task of the try that it may be completed with: a start of the same
+// task and try has no effect there.
+func (d *Dispatch) leftOn(j *job) map[string]bool {
+	if len(j.Placed) == 0 {
+		return j.avoid
+	}
+	avoid := maps.Clone(j.avoid)
+	for _, m := range d.roster {
+		name := m.name
+		for ref, t := range m.tasks {
+			if ref.job == j.Spec.ID && t.Status == protocol.TaskExited {
+				avoid[name] = true
+			}
+		}
+	}
+	return avoid
+}
+
+// runningTasks shows the planner what a job has placed. What stopping a task
+// loses is the time since the last checkpoint that its interval implies, or all
+// of it where it declares none.
+func (d *Dispatch) runningTasks(j *job, now clock.Micros, evictions bool) []planner.Running {
+	if j.runningStale {
+		j.runningStale = false
+		j.running, j.runningSince = j.running[:0], j.runningSince[:0]
+		for _, task := range slices.Sorted(maps.Keys(j.Placed)) {
+			p := j.Placed[task]
+			r := planner.Running{Task: task, Machine: p.Machine}
+			_, r.Stopping = j.stops[task]
+			since := clock.Micros(0)
+			if m := d.machines[p.Machine]; m != nil {
+				r.Zone = m.zone
+				since = m.since[taskRef{j.Spec.ID, task, p.Try}]
+			}
+			j.running, j.runningSince = append(j.running, r), append(j.runningSince, since)
+		}
+	}
+	if !evictions {
+		return j.running
+	}
+	for i, since := range j.runningSince {
+		r := &j.running[i]
+		r.Overhead, r.Borrowed = 0, false
+		if since != 0 {
+			r.Overhead = (now - since).Seconds()
+			if j.Spec.CheckpointS > 0 {
+				r.Overhead = math.Mod(r.Overhead, j.Spec.CheckpointS)
+			}
+		}
+	}
+	return j.running
+}
+
+// evictionsPossible tells that some job could make another yield: what stopping tasks
+// would lose is worth computing only then, thousands of times in each plan.
+func (d *Dispatch) evictionsPossible() bool {
+	for _, t := range d.set.Deployment.Teams {
+		if t.Cpus > 0 || t.Gpus > 0 {
+			return true
+		}
+	}
+	ranks := map[string]bool{}
+	for _, j := range d.jobs {
+		ranks[j.Spec.Rank] = true
+	}
+	return len(ranks) > 1
+}
+
+// markWithin marks the jobs that fit into their teams' guarantees together with
+// the teams' earlier ones.
+func (d *Dispatch) markWithin(s *planner.Snapshot) {
+	left := map[string]planner.Amounts{}
+	for name, t := range s.Teams {
+		if t.Guarantee.Cpus > 0 || t.Guarantee.Gpus > 0 {
+			left[name] = t.Guarantee
+		}
+	}
+	if len(left) == 0 {
+		return
+	}
+	for _, j := range slices.Backward(youngestFirst(s)) {
+		room, guaranteed := left[j.Spec.Team]
+		if !guaranteed {
+			continue
+		}
+		all := planner.Needs(j.Spec).Times(float64(j.Spec.Tasks - d.jobs[j.ID].Done.Len()))
+		g := s.Teams[j.Spec.Team].Guarantee
+		j.Within = (g.Cpus == 0 || all.Cpus <= room.Cpus+1e-6) && (g.Gpus == 0 || all.Gpus <= room.Gpus+1e-6)
+		left[j.Spec.Team] = room.Minus(all)
+	}
+}
+
+// youngestFirst are the snapshot's jobs by their submission.
+func youngestFirst(s *planner.Snapshot) []*planner.Job {
+	order := make([]*planner.Job, len(s.Jobs))
+	for i := range s.Jobs {
+		order[i] = &s.Jobs[i]
+	}
+	slices.SortFunc(order, func(a, b *planner.Job) int {
+		return cmp.Or(cmp.Compare(b.SubmittedAt, a.SubmittedAt), cmp.Compare(b.ID, a.ID))
+	})
+	return order
+}
+
+// markBorrowed marks, youngest jobs first, what teams run beyond their
+// guarantees. Without any guarantee there is nobody to return it to.
+func markBorrowed(s *planner.Snapshot) {
+	guaranteed := false
+	excess := map[string]planner.Amounts{}
+	for name, t := range s.Teams {
+		guaranteed = guaranteed || t.Guarantee.Cpus > 0 || t.Guarantee.Gpus > 0
+		excess[name] = t.Used.Minus(t.Guarantee)
+	}
+	if !guaranteed {
+		return
+	}
+	for _, j := range youngestFirst(s) {
+		g := s.Teams[j.Spec.Team].Guarantee
+		for i := range j.Running {
+			left := excess[j.Spec.Team]
+			if g.Cpus > 0 && left.Cpus > 1e-6 || g.Gpus > 0 && left.Gpus > 1e-6 || g.Cpus == 0 && g.Gpus == 0 {
+				j.Running[i].Borrowed = true
+				excess[j.Spec.Team] = left.Minus(planner.Needs(j.Spec))
+			}
+		}
+	}
+}
+
+// planned is the machine as the planner may use it, if at all.
+func (d *Dispatch) planned(m *machine, now clock.Micros) (planner.Machine, bool) {
+	t, known := d.types[m.typ]
+	if !known || m.releasing || m.quarantine || m.recallAt != 0 || now < m.fullUntil ||
+		m.seen && (m.cordoned || m.answersLost || !d.synced(m) || !d.renewed(m)) {
+		return planner.Machine{}, false
+	}
+	if m.viewStale {
+		d.look(m, t)
+	}
+	if !m.seen {
+		boot := clock.FromSeconds(t.BootS)
+		m.view.Booting = m.status == protocol.MachineStarting && now < m.firstSeen+2*boot+5*clock.Second ||
+			m.status == protocol.MachineRunning && now < m.firstSeen+boot+10*clock.Second
+		// One that is late is taken to need as long again as it is late.
+		late := now - m.firstSeen - boot
+		m.view.BootS = max(-late, late).Seconds()
+		return m.view, m.view.Booting && len(m.placed) == 0
+	}
+	m.pull(now, t)
+	m.view.PullS = m.pullGB * m.view.FetchS
+	return m.view, !m.strange
+}
+
+// pull lets the images that are being fetched come nearer.
+func (m *machine) pull(now clock.Micros, t protocol.MachineType) {
+	if len(m.view.Pulling) == 0 {
+		m.pullGB = 0
+	}
+	m.pullGB = max(0, m.pullGB-(now-m.pulledAt).Seconds()*t.FetchGBPerS)
+	m.pulledAt = now
+}
+
+// look makes the planner's view of a machine anew.
+func (d *Dispatch) look(m *machine, t protocol.MachineType) {
+	m.viewStale, m.strange = false, false
+	m.pull(d.now(), t)
+	before := m.view.Pulling
+	m.view = planner.Machine{Name: m.name, Type: m.typ, Zone: m.zone, Spot: m.spot, Whole: fleet.Whole(t),
+		Free: fleet.Whole(t), Price: fleet.Price(t, m.spot), Slow: m.slowness()}
+	if t.FetchGBPerS > 0 {
+		m.view.FetchS = 1 / t.FetchGBPerS
+	}
+	for _, i := range m.images {
+		m.view.Images = append(m.view.Images, i.name)
+	}
+	for id, tasks := range inOrder(m.placed) {
+		j := d.jobs[id]
+		m.view.Free = m.view.Free.Minus(planner.Needs(&j.Spec).Times(float64(len(tasks))))
+		if m.view.Pull(&j.Spec); !slices.Contains(before, j.Spec.Image) && slices.Contains(m.view.Pulling, j.Spec.Image) {
+			m.pullGB += j.Spec.ImageGB
+			before = append(before, j.Spec.Image)
+		}
+	}
+	for ref, t := range m.tasks {
+		if _, placed := m.placed[ref.job][ref.task]; !placed && t.Status != protocol.TaskExited {
+			m.strange = true
+		}
+	}
+}
