--- a/internal/dispatch/allowance.go
+++ b/internal/dispatch/allowance.go
@@ -10,6 +10,10 @@
 	"postpoint/internal/protocol"
 )
 
+// What a leader may still do without its lease, when a cancelled task's machine
+// has to go and when silence proves a machine empty are one piece of reasoning:
+// "The arithmetic of cancellations" in docs/rules.md.
+
 // Attester asks every node, this one included, for what it has told users of
 // cancellations in the time back from now. ok means that all have answered.
 type Attester func(back clock.Micros, done func(all []intake.Attestation, ok bool))
