--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"net/http"
 	"slices"
 
@@ -118,3 +119,71 @@
 		d.wake()
 	})
 }
+
+// committed handles the answer to a transaction.
+func (d *Dispatch) committed(writes []write, r statestore.Reply[protocol.TxnAnswer]) {
+	for _, w := range writes {
+		w.j.inFlight = false
+	}
+	switch {
+	case r.Status == http.StatusOK:
+		d.noteDurable(writes, r.Value.Revision)
+	case r.Status == http.StatusConflict && slices.Contains(r.Value.Failed, leadership.Key):
+		slog.Info("the leader's key changed hands", "epoch", d.term.Epoch)
+		d.term.ValidUntil = 0
+		d.deposed(d.term.Epoch + 1)
+		return
+	case r.Status == http.StatusTooManyRequests || r.Status == http.StatusServiceUnavailable:
+		// Not executed: the same changes go again after a pause.
+		d.pauseUntil = d.now() + retryDelay
+	case r.Unknown() || r.Status >= http.StatusInternalServerError:
+		// It may have been carried out, or may be seconds from now. Until something
+		// else is written at these versions nothing that it says may be forgotten: a
+		// place that a read doesn't show yet would be given away and then be there all
+		// the same. So it goes again as it stands by then; only one of the two can apply,
+		// and if it was the first, the second is refused and the records are read.
+		slog.Info("a change has no answer, it goes again", "status", r.Status, "reason", r.Value.Error, "records", len(writes))
+		d.pauseUntil = d.now() + retryDelay
+	default:
+		// Refused because somebody else changed a record: only the records tell.
+		if r.Status != http.StatusConflict {
+			slog.Error("a change is refused, reading the records", "status", r.Status, "reason", r.Value.Error, "records", len(writes))
+			d.pauseUntil = d.now() + retryDelay
+		}
+		for _, w := range writes {
+			if r.Status != http.StatusConflict || slices.Contains(r.Value.Failed, ledger.Key(w.j.Spec.ID)) {
+				w.j.reread = true
+			}
+		}
+	}
+	for _, w := range writes {
+		if e := w.j.followedEvent; e != nil {
+			w.j.followedEvent = nil
+			d.adopt(e.Put, e.Value, e.Version)
+		}
+		d.retire(w.j)
+	}
+}
+
+// noteDurable marks what a transaction has written, and tells the machines concerned.
+func (d *Dispatch) noteDurable(writes []write, revision int64) {
+	touched := map[string]*machine{}
+	for _, w := range writes {
+		w.j.version, w.j.durable = revision, w.changed
+		w.j.fresh = slices.DeleteFunc(w.j.fresh, func(task int) bool {
+			p, placed := w.j.Placed[task]
+			if placed && !w.j.committed(p) {
+				return false
+			}
+			if m := d.machines[p.Machine]; placed && m != nil {
+				touched[m.name] = m
+			}
+			return true
+		})
+	}
+	if !d.strained() {
+		for _, m := range inOrder(touched) {
+			d.pushOrders(m)
+		}
+	}
+}
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -24,16 +24,7 @@
 		m.idleSince = d.now()
 	}
 	if m.seen && r.Shift > m.shift {
-		// Its session ran out. Had the latest answer to it arrived, it would not
-		// have yet: a machine whose reports come through while answers and
-		// commands don't looks alive and loses its tasks lease after lease.
-		answerLost := m.answeredAt != 0 && d.now() < m.answeredAt+d.set.Deployment.Workers.Lease()
-		if answerLost && !m.answersLost {
-			slog.Info("machine loses its session though it is answered", "machine", m.name, "shift", r.Shift)
-		} else if answerLost {
-			d.release(m, "answers don't reach it")
-		}
-		m.answersLost = m.answersLost || answerLost
+		d.sessionLost(m, r.Shift)
 	}
 	if r.Shift > m.shift {
 		clear(m.sent)
@@ -44,9 +35,29 @@
 		m.shiftAt = d.now()
 	}
 	same := m.settled && r.Shift == m.shift && r.Epoch == m.epoch && m.sameTasks(r.Tasks)
+	d.noteMachine(m, &r)
 	if !same {
 		m.viewStale = true
+		d.takeTasks(m, r.Tasks)
 	}
+}
+
+// sessionLost handles a machine whose session ran out.
+func (d *Dispatch) sessionLost(m *machine, next int64) {
+	// Had the latest answer to it arrived, it would not
+	// have yet: a machine whose reports come through while answers and
+	// commands don't looks alive and loses its tasks lease after lease.
+	answerLost := m.answeredAt != 0 && d.now() < m.answeredAt+d.set.Deployment.Workers.Lease()
+	if answerLost && !m.answersLost {
+		slog.Info("machine loses its session though it is answered", "machine", m.name, "shift", next)
+	} else if answerLost {
+		d.release(m, "answers don't reach it")
+	}
+	m.answersLost = m.answersLost || answerLost
+}
+
+// noteMachine takes what a report says of the machine itself.
+func (d *Dispatch) noteMachine(m *machine, r *protocol.Report) {
 	m.seen = true
 	m.addr, m.typ, m.zone, m.spot = r.Address, r.Type, r.Zone, r.Spot
 	m.shift, m.counter, m.epoch = r.Shift, r.Counter, r.Epoch
@@ -58,12 +69,14 @@
 	if r.RecallS != nil {
 		m.recallAt = d.now() + clock.FromSeconds(*r.RecallS)
 	}
-	if same {
-		return
-	}
+}
+
+// takeTasks replaces what is known of a machine's tasks by what its report says, and draws
+// from it what it proves.
+func (d *Dispatch) takeTasks(m *machine, tasks []protocol.TaskReport) {
 	clear(m.tasks)
-	m.reported, m.ended = r.Tasks, 0
-	for _, t := range r.Tasks {
+	m.reported, m.ended = tasks, 0
+	for _, t := range tasks {
 		id, task, ok := protocol.ParseTask(t.Task)
 		if !ok {
 			continue
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -21,6 +21,15 @@
 	if len(d.catalogue) == 0 {
 		return
 	}
+	snapshot, plan := d.makePlan()
+	d.carryOutPlaces(plan.Places)
+	d.carryOutStops(plan.Stops)
+	d.noteWants(plan.Wants)
+	d.rent(append(plan.Wants, d.cheaper(plan, snapshot)...))
+}
+
+// makePlan plans, and takes cordoned machines back if there is need of them.
+func (d *Dispatch) makePlan() (planner.Snapshot, planner.Plan) {
 	d.plans++
 	snapshot := d.snapshot()
 	plan := planner.Make(snapshot)
@@ -30,16 +39,20 @@
 		snapshot = d.snapshot()
 		plan = planner.Make(snapshot)
 	}
-	// A gang of which a part would boot yet stays whole: placed in part it would
-	// hold its places, fail for want of the rest and start over. The plan has kept
-	// the room for it.
+	return snapshot, plan
+}
+
+// carryOutPlaces proposes placements. A gang of which a part would boot yet stays whole:
+// placed in part it would hold its places, fail for want of the rest and start over. The
+// plan has kept the room for it.
+func (d *Dispatch) carryOutPlaces(places []planner.Place) {
 	booting := map[string]bool{}
-	for _, p := range plan.Places {
+	for _, p := range places {
 		if p.Booting && !strings.HasPrefix(p.Job, sparePrefix) && d.jobs[p.Job].Spec.Gang() {
 			booting[p.Job] = true
 		}
 	}
-	for _, p := range plan.Places {
+	for _, p := range places {
 		if strings.HasPrefix(p.Job, sparePrefix) {
 			d.machines[p.Machine].spareAt = d.now()
 			continue
@@ -54,7 +67,11 @@
 		}
 		d.place(j, ledger.Placement{Task: p.Task, Try: j.thisTry(), Machine: m.name, Shift: m.shift})
 	}
-	for _, s := range plan.Stops {
+}
+
+// carryOutStops makes room for the jobs that it is planned for, which owe it.
+func (d *Dispatch) carryOutStops(stops []planner.Stop) {
+	for _, s := range stops {
 		j, winner := d.jobs[s.Job], d.jobs[s.For]
 		slog.Info("making room", "from", s.Job, "task", s.Task, "for", s.For)
 		d.stop(j, s.Task, "room", s.For)
@@ -63,7 +80,11 @@
 			d.touch(winner)
 		}
 	}
-	for _, w := range plan.Wants {
+}
+
+// noteWants keeps since when machines have been wanted for a job.
+func (d *Dispatch) noteWants(wants []planner.Want) {
+	for _, w := range wants {
 		if j := d.jobs[w.Job.ID]; j != nil {
 			if j.wantedAt == 0 || d.now() > j.wantedAt+wantedGap {
 				j.wantedFrom = d.now()
@@ -71,7 +92,6 @@
 			j.wantedAt = d.now()
 		}
 	}
-	d.rent(append(plan.Wants, d.cheaper(plan, snapshot)...))
 }
 
 const (
