--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -119,6 +119,12 @@
 	} else {
 		d.unplaceAll(j)
 	}
+	d.replaceContent(j, content, version)
+	d.retire(j)
+}
+
+// replaceContent makes a record's content what is known of its job.
+func (d *Dispatch) replaceContent(j *job, content *ledger.Job, version int64) {
 	j.Job, j.version, j.reread = content, version, false
 	j.changed++
 	j.durable = j.changed
@@ -146,7 +152,6 @@
 			}
 		}
 	}
-	d.retire(j)
 }
 
 // noteClass keeps what is needed to expect more jobs of a class.
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -29,7 +29,6 @@
 		}
 	}
 	d.views = s.Machines
-	limit := int(d.set.Deployment.State.ValueKb * 1024)
 	evictions := d.evictionsPossible()
 	for _, j := range inOrder(d.jobs) {
 		team := s.Teams[j.Spec.Team]
@@ -44,25 +43,7 @@
 		if j.over() || j.reread {
 			continue
 		}
-		pj := planner.Job{ID: j.Spec.ID, Spec: &j.Spec, Rank: protocol.RankOf(j.Spec.Rank), SubmittedAt: j.SubmittedAt,
-			Returning: j.returning, Waiting: now < j.notBefore, MayEvict: j.failures < 3, Avoid: j.avoid}
-		pj.Tier, pj.SlackS = d.aims(j)
-		pj.StartAim = d.startAim(j.Spec.Class) > 0
-		pj.StartS = d.startLeft(j)
-		pj.Unmet = j.wantedAt != 0 && now > j.wantedFrom+unmetTime && now <= j.wantedAt+wantedGap
-		if missing := j.PendingCount() > 0; missing && (!j.Spec.Gang() || len(j.Placed) == 0 || d.completable(j)) {
-			pj.Limit = j.Room(limit)
-			pj.Pending = j.Pending(min(planTasks, pj.Limit))
-			if j.Spec.Gang() {
-				pj.Pending = j.Pending(j.Spec.Tasks)
-				pj.Avoid = d.leftOn(j)
-			}
-		}
-		if len(pj.Pending) == 0 {
-			j.returning = false
-		}
-		pj.Running = d.runningTasks(j, now, evictions)
-		s.Jobs = append(s.Jobs, pj)
+		s.Jobs = append(s.Jobs, d.plannedJob(j, now, evictions))
 	}
 	d.markWithin(&s)
 	hurry(&s)
@@ -117,6 +98,30 @@
 	}
 }
 
+// plannedJob is a job as the planner is shown it.
+func (d *Dispatch) plannedJob(j *job, now clock.Micros, evictions bool) planner.Job {
+	limit := int(d.set.Deployment.State.ValueKb * 1024)
+	pj := planner.Job{ID: j.Spec.ID, Spec: &j.Spec, Rank: protocol.RankOf(j.Spec.Rank), SubmittedAt: j.SubmittedAt,
+		Returning: j.returning, Waiting: now < j.notBefore, MayEvict: j.failures < 3, Avoid: j.avoid}
+	pj.Tier, pj.SlackS = d.aims(j)
+	pj.StartAim = d.startAim(j.Spec.Class) > 0
+	pj.StartS = d.startLeft(j)
+	pj.Unmet = j.wantedAt != 0 && now > j.wantedFrom+unmetTime && now <= j.wantedAt+wantedGap
+	if missing := j.PendingCount() > 0; missing && (!j.Spec.Gang() || len(j.Placed) == 0 || d.completable(j)) {
+		pj.Limit = j.Room(limit)
+		pj.Pending = j.Pending(min(planTasks, pj.Limit))
+		if j.Spec.Gang() {
+			pj.Pending = j.Pending(j.Spec.Tasks)
+			pj.Avoid = d.leftOn(j)
+		}
+	}
+	if len(pj.Pending) == 0 {
+		j.returning = false
+	}
+	pj.Running = d.runningTasks(j, now, evictions)
+	return pj
+}
+
 // leftOn adds to the machines that a gang avoids those that still report an
 // ended task of the try that it may be completed with: a start of the same
 // task and try has no effect there.
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -47,73 +47,90 @@
 
 // Handler is all that the node answers over HTTP.
 func Handler(in *Intake, heartbeats HeartbeatHandler) http.Handler {
-	mux := http.NewServeMux()
-	user := func(w http.ResponseWriter, r Request) {
-		answered := make(chan Answer, 1)
-		in.Handle(r, func(a Answer) { answered <- a })
-		a := <-answered
-		if a.RetryS > 0 {
-			w.Header().Set("Retry-After", strconv.Itoa(a.RetryS))
-		}
-		write(w, a.Status, a.Body)
-	}
-	mux.HandleFunc("POST /api/jobs", func(w http.ResponseWriter, r *http.Request) {
-		body, ok := readBody(w, r)
-		if ok {
-			user(w, Request{Kind: Submit, Body: body})
-		}
-	})
-	mux.HandleFunc("GET /api/jobs/{id}", func(w http.ResponseWriter, r *http.Request) {
-		user(w, Request{Kind: Show, ID: r.PathValue("id")})
-	})
-	mux.HandleFunc("POST /api/jobs/{id}/withdraw", func(w http.ResponseWriter, r *http.Request) {
-		user(w, Request{Kind: Cancel, ID: r.PathValue("id")})
-	})
-	mux.HandleFunc("GET /up", func(w http.ResponseWriter, _ *http.Request) {
-		ready := make(chan bool, 1)
-		in.Ready(func(ok bool) { ready <- ok })
-		if !<-ready {
-			write(w, http.StatusServiceUnavailable, nil)
-			return
-		}
-		write(w, http.StatusOK, nil)
+	h := &handler{in: in, heartbeats: heartbeats, mux: http.NewServeMux()}
+	h.mux.HandleFunc("POST /api/jobs", h.submit)
+	h.mux.HandleFunc("GET /api/jobs/{id}", func(w http.ResponseWriter, r *http.Request) {
+		h.user(w, Request{Kind: Show, ID: r.PathValue("id")})
 	})
-	// For operators: what this node knows, as JSON.
-	mux.HandleFunc("GET /overview", func(w http.ResponseWriter, _ *http.Request) {
-		answered := make(chan any, 1)
-		heartbeats.Overview(func(o any) { answered <- o })
-		w.Header().Set("Content-Type", "application/json")
-		e := json.NewEncoder(w)
-		e.SetIndent("", "  ")
-		_ = e.Encode(<-answered)
+	h.mux.HandleFunc("POST /api/jobs/{id}/withdraw", func(w http.ResponseWriter, r *http.Request) {
+		h.user(w, Request{Kind: Cancel, ID: r.PathValue("id")})
 	})
-	mux.HandleFunc("POST /agent/beat", func(w http.ResponseWriter, r *http.Request) {
-		body, ok := readBody(w, r)
-		if !ok {
-			return
-		}
-		report, err := reportDecoder(r).Decode(body)
-		if err != nil || !validReport(&report) {
-			write(w, http.StatusBadRequest, protocol.Encode(protocol.Refusal{Error: "not a report"}))
-			return
-		}
-		type answer struct {
-			status int
-			body   any
-		}
-		answered := make(chan answer, 1)
-		heartbeats.Heartbeat(report, func(status int, body any) { answered <- answer{status, body} })
-		a := <-answered
-		stays := reports(r)
-		if !stays {
-			w.Header().Set("Connection", "close")
-		}
-		write(w, a.status, protocol.Encode(a.body))
-		if stays {
-			takeOver(w, r, mux, idleTime(in.set.Deployment.Workers.Report().Duration()))
-		}
-	})
-	return mux
+	h.mux.HandleFunc("GET /up", h.health)
+	h.mux.HandleFunc("GET /overview", h.overview)
+	h.mux.HandleFunc("POST /agent/beat", h.heartbeat)
+	return h.mux
+}
+
+// handler answers each kind of request by a message to the actor concerned.
+type handler struct {
+	in         *Intake
+	heartbeats HeartbeatHandler
+	mux        *http.ServeMux
+}
+
+func (h *handler) user(w http.ResponseWriter, r Request) {
+	answered := make(chan Answer, 1)
+	h.in.Handle(r, func(a Answer) { answered <- a })
+	a := <-answered
+	if a.RetryS > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(a.RetryS))
+	}
+	write(w, a.Status, a.Body)
+}
+
+func (h *handler) submit(w http.ResponseWriter, r *http.Request) {
+	if body, ok := readBody(w, r); ok {
+		h.user(w, Request{Kind: Submit, Body: body})
+	}
+}
+
+func (h *handler) health(w http.ResponseWriter, _ *http.Request) {
+	ready := make(chan bool, 1)
+	h.in.Ready(func(ok bool) { ready <- ok })
+	if !<-ready {
+		write(w, http.StatusServiceUnavailable, nil)
+		return
+	}
+	write(w, http.StatusOK, nil)
+}
+
+// overview is for operators: what this node knows, as JSON.
+func (h *handler) overview(w http.ResponseWriter, _ *http.Request) {
+	answered := make(chan any, 1)
+	h.heartbeats.Overview(func(o any) { answered <- o })
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	_ = e.Encode(<-answered)
+}
+
+// heartbeatAnswer is a status and what is sent with it.
+type heartbeatAnswer struct {
+	status int
+	body   any
+}
+
+func (h *handler) heartbeat(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	report, err := reportDecoder(r).Decode(body)
+	if err != nil || !validReport(&report) {
+		write(w, http.StatusBadRequest, protocol.Encode(protocol.Refusal{Error: "not a report"}))
+		return
+	}
+	answered := make(chan heartbeatAnswer, 1)
+	h.heartbeats.Heartbeat(report, func(status int, body any) { answered <- heartbeatAnswer{status, body} })
+	a := <-answered
+	stays := reports(r)
+	if !stays {
+		w.Header().Set("Connection", "close")
+	}
+	write(w, a.status, protocol.Encode(a.body))
+	if stays {
+		takeOver(w, r, h.mux, idleTime(h.in.set.Deployment.Workers.Report().Duration()))
+	}
 }
 
 func validReport(r *protocol.Report) bool {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -103,30 +103,36 @@
 	p.plan.Wants = append(p.plan.Wants, Want{j, wanted - placed - p.save(j, wanted)})
 }
 
+// placeGang starts all tasks of a gang or none.
+func (p *planning) placeGang(j *Job, team *Team) (wanted, placed int) {
+	needs := Needs(j.Spec)
+	n := len(j.Pending)
+	if n > j.Limit || team != nil && !team.allows(needs, n) {
+		return 0, 0
+	}
+	// Machines that are up come first: what waits for one that boots can't
+	// start before it.
+	places := p.fitGang(j, n, true)
+	if places == nil {
+		places = p.fitGang(j, n, false)
+	}
+	if places == nil {
+		return n, 0
+	}
+	j.Running = slices.Clip(j.Running)
+	for i, m := range places {
+		p.take(j, j.Pending[i], m, team)
+	}
+	return n, n
+}
+
 // place starts what fits, or only where the image is, and says how many tasks
 // should run and how many do. What it has started is no longer pending.
 func (p *planning) place(j *Job, warm bool) (wanted, placed int) {
 	team := p.teams[j.Spec.Team]
 	needs := Needs(j.Spec)
 	if j.Spec.Gang() {
-		n := len(j.Pending)
-		if n > j.Limit || team != nil && !team.allows(needs, n) {
-			return 0, 0
-		}
-		// Machines that are up come first: what waits for one that boots can't
-		// start before it.
-		places := p.fitGang(j, n, true)
-		if places == nil {
-			places = p.fitGang(j, n, false)
-		}
-		if places == nil {
-			return n, 0
-		}
-		j.Running = slices.Clip(j.Running)
-		for i, m := range places {
-			p.take(j, j.Pending[i], m, team)
-		}
-		return n, n
+		return p.placeGang(j, team)
 	}
 	zones := zonesOf(j)
 	candidates := p.candidates(j, false)
