--- a/internal/controller/loopback_test.go
+++ b/internal/controller/loopback_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -314,6 +315,40 @@
 	go func() { must(Run(set, Options{LeaseTTL: 4 * clock.Second})) }()
 }
 
+// From the start of a process to the first health check that it passes, in a process of
+// its own.
+func BenchmarkStartUp(b *testing.B) {
+	_, set := startStandIns(b)
+	raw, err := json.Marshal(set)
+	must(err)
+	var wall, processor time.Duration
+	for range b.N {
+		child := exec.Command(os.Args[0])
+		child.Env = append(os.Environ(), controllerVariable+"="+string(raw))
+		began := time.Now()
+		must(child.Start())
+		for {
+			answer, err := http.Get("http://" + set.Bind + "/up")
+			if err == nil {
+				_ = answer.Body.Close()
+				if answer.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Since(began) > time.Minute {
+				b.Fatal("never healthy")
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		wall += time.Since(began)
+		must(child.Process.Kill())
+		_ = child.Wait()
+		processor += child.ProcessState.UserTime() + child.ProcessState.SystemTime()
+	}
+	b.ReportMetric(wall.Seconds()/float64(b.N), "s-to-healthy")
+	b.ReportMetric(processor.Seconds()/float64(b.N), "cpu-s")
+}
+
 // Election, records, and the whole fleet reporting anew.
 func BenchmarkTakeover(b *testing.B) {
 	s, set := startStandIns(b)
