--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -403,6 +403,30 @@
 	}
 }
 
+// What stopping tasks would lose is known as soon as some job could make another yield:
+// by its rank, or because a team has a guarantee.
+func TestOverheadsAreKnownWhenJobsMayYield(t *testing.T) {
+	for name, change := range map[string]func(d *Dispatch){
+		"alike": func(*Dispatch) {},
+		"two ranks": func(d *Dispatch) {
+			urgent := ledger.New(protocol.JobSpec{ID: "job-2", Shape: protocol.ShapeArray, Rank: "urgent", Tasks: 1}, 1)
+			d.adopt(ledger.Key("job-2"), urgent.Encode(), 6)
+		},
+		"a guarantee": func(d *Dispatch) { d.set.Deployment.Teams = []settings.Team{{Name: "a", Cpus: 1}} },
+	} {
+		d, _, _ := eightRunning()
+		change(d)
+		d.mailbox.(*actortest.Still).Now += 20 * clock.Second
+		for _, j := range d.snapshot().Jobs {
+			for _, r := range j.Running {
+				if known := r.Overhead == 20; known != (name != "alike") {
+					t.Errorf("%s: task %d loses %v s", name, r.Task, r.Overhead)
+				}
+			}
+		}
+	}
+}
+
 // Among jobs that are to start, the time left to the next aim counts, the last
 // being the four minutes in which every job is to begin; what must start sooner
 // than a machine boots keeps its order.
