--- /dev/null
+++ b/internal/dispatch/reconcile_test.go
@@ -0,0 +1,187 @@
+package dispatch
+
+import (
+	"testing"
+
+	"postpoint/internal/clock"
+	"postpoint/internal/ledger"
+	"postpoint/internal/protocol"
+)
+
+// A report that is older than one heard already proves nothing, however late
+// it arrives.
+func TestOldReportsAreIgnored(t *testing.T) {
+	d, j, m, _ := one(t)
+	d.observe(m, report(1, 9, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskRunning}))
+	d.observe(m, report(1, 4, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskExited, Cause: protocol.CauseError}))
+	if len(j.Placed) != 1 || m.counter != 9 {
+		t.Fatalf("placed %v after an old report", j.Placed)
+	}
+}
+
+// While a start may still arrive, a report without the task doesn't free its
+// place, even if the task is to be stopped; it is started and stopped instead. A
+// cancelled job's isn't: nothing of it may start any more, and the place is kept.
+func TestAbsenceProvesNothingWhileAStartMayArrive(t *testing.T) {
+	d, j, m, _ := one(t)
+	ref := taskRef{"job-1", 0, 1}
+	d.observe(m, report(1, 1))
+	m.sent[ref] = &sent{uncertain: true}
+	j.stops[0] = stop{why: "room"}
+	d.observe(m, report(1, 2))
+	if len(j.Placed) != 1 {
+		t.Fatal("the place was freed")
+	}
+	orders := d.orders(m, true)
+	if len(orders) != 2 || orders[0].Verb != protocol.VerbStart || orders[1].Verb != protocol.VerbStop {
+		t.Fatalf("orders %v", orders)
+	}
+	m.sent[ref] = &sent{uncertain: true}
+	j.Status = protocol.StatusCancelled
+	if orders := d.orders(m, true); len(orders) != 0 || len(j.Placed) != 1 {
+		t.Fatalf("orders %v for a cancelled job, placed %v", orders, j.Placed)
+	}
+	m.sent[ref] = &sent{}
+	d.observe(m, report(1, 3))
+	if len(j.Placed) != 0 {
+		t.Fatal("the place was kept without reason")
+	}
+}
+
+// Once a machine's lease has surely ended, reports of that session, held up
+// somewhere, don't bring it back; the next session does.
+func TestExpiredSessionsDontComeBack(t *testing.T) {
+	d, j, m, box := one(t)
+	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskRunning}))
+	box.Now += 60 * clock.Second
+	d.expire()
+	if !m.expired || len(j.Placed) != 0 {
+		t.Fatalf("expired %v, placed %v", m.expired, j.Placed)
+	}
+	d.observe(m, report(1, 8))
+	if !m.expired || d.synced(m) {
+		t.Fatal("an old session came back")
+	}
+	d.observe(m, report(2, 9))
+	if m.expired || !d.synced(m) {
+		t.Fatal("the new session isn't taken")
+	}
+}
+
+// A session begins with a lease that nobody answered: a machine just heard of
+// for the first time isn't expired, though no heartbeat of it was ever answered.
+func TestASessionBeginsWithALease(t *testing.T) {
+	d, j, m, box := one(t)
+	box.Now += 60 * clock.Second
+	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskRunning}))
+	d.expire()
+	if m.expired || len(j.Placed) != 1 {
+		t.Fatal("the lease it began with was not counted")
+	}
+}
+
+// A machine on which tasks take twice as long as elsewhere is told from others
+// after a few runs, though all estimates are wrong, and recovers when it does.
+func TestSlowMachinesAreNoticed(t *testing.T) {
+	d, j, slow, _ := one(t)
+	j.Spec.EstimateS, j.Spec.Class = 10, "c"
+	d.noteClass(&j.Spec)
+	other := d.machine("m-2")
+	run := func(m *machine, s int) { d.notePace(m, &j.Spec, clock.Micros(s)*clock.Second) }
+	for range 10 {
+		run(other, 30) // three times the estimate, as everywhere
+	}
+	for range 8 {
+		run(slow, 60)
+		for range 6 {
+			run(other, 30)
+		}
+	}
+	if slow.slowness() < 0.5 || other.slowness() != 0 {
+		t.Fatalf("slowness %v and %v", slow.slowness(), other.slowness())
+	}
+	for range 6 {
+		run(slow, 30)
+		run(other, 30)
+	}
+	if slow.slowness() != 0 {
+		t.Fatalf("slowness %v after it has recovered", slow.slowness())
+	}
+}
+
+// A placement read back for a machine that was released meanwhile is gone with it:
+// nothing will ever be heard of that machine again.
+func TestPlacesOnReleasedMachinesAreFree(t *testing.T) {
+	d, j, _, _ := one(t)
+	old := j.Encode()
+	d.released["m-1"] = true
+	delete(d.machines, "m-1")
+	d.roster = nil
+	j.reread = true
+	d.adopt(ledger.Key("job-1"), old, 6)
+	if len(j.Placed) != 0 || j.NextTry < 2 {
+		t.Fatalf("placed %v, next try %d", j.Placed, j.NextTry)
+	}
+	// What is still heard of it is old, and brings nothing back.
+	status := 0
+	d.Heartbeat(report(1, 7), func(s int, _ any) { status = s })
+	if status != 421 || d.machines["m-1"] != nil {
+		t.Fatalf("answered %d, known %v", status, d.machines["m-1"] != nil)
+	}
+}
+
+// A machine that loses its session though it was answered doesn't hear: it gets
+// no more work until a session outlasts its first lease, and goes the second time.
+func TestUnheedingMachinesGetNoWork(t *testing.T) {
+	d, _, m, box := one(t)
+	d.types["t"] = protocol.MachineType{Name: "t", Cpus: 8}
+	usable := func() bool { _, ok := d.planned(m, box.Now); return ok }
+	say := func(shift, counter int64) {
+		r := report(shift, counter)
+		r.Type = "t"
+		d.Heartbeat(r, func(int, any) {})
+	}
+	say(1, 1)
+	if !usable() {
+		t.Fatal("it can't be used to begin with")
+	}
+	box.Now += 11 * clock.Second
+	d.term.ValidUntil, d.freshAt = box.Now+4*clock.Second, box.Now
+	say(1, 2)
+	box.Now += 2 * clock.Second
+	say(2, 3) // its lease counts from a report that was answered before
+	if usable() || m.releasing {
+		t.Fatalf("usable %v, releasing %v after one lost session", usable(), m.releasing)
+	}
+	box.Now += 14 * clock.Second
+	d.term.RenewedAt, d.term.ValidUntil, d.freshAt = box.Now, box.Now+4*clock.Second, box.Now
+	say(2, 4)
+	if !usable() {
+		t.Fatal("it isn't used again though its session lasts")
+	}
+	m.answeredAt = box.Now
+	say(3, 5)
+	m.answeredAt = box.Now
+	say(4, 6)
+	if !m.releasing {
+		t.Fatal("it is kept after two lost sessions")
+	}
+}
+
+// As the first that a new leader hears of a machine, a copy of an old report
+// frees no place by what it lacks, and the machine gets no work: only a report
+// that carries the leader's epoch is known to be of its time.
+func TestReportsOfOlderEpochsProveNoAbsence(t *testing.T) {
+	d, j, m, box := one(t)
+	d.types["t"] = protocol.MachineType{Name: "t", Cpus: 8}
+	old := report(1, 5)
+	old.Epoch, old.Type = 6, "t"
+	j.Status = protocol.StatusCancelled
+	d.Heartbeat(old, func(int, any) {})
+	if len(j.Placed) != 1 {
+		t.Fatal("the place was freed")
+	}
+	if _, ok := d.planned(m, box.Now); ok {
+		t.Fatal("the machine is used")
+	}
+}
--- /dev/null
+++ b/internal/dispatch/records_test.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+
+	"postpoint/internal/ledger"
+	"postpoint/internal/protocol"
+	"postpoint/internal/statestore"
+)
+
+// A record read before a change and answered after it doesn't undo the change,
+// not even while the record is to be read again.
+func TestLateReadsDontBringPlacesBack(t *testing.T) {
+	d, j, m, _ := one(t)
+	old := j.Encode()
+	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskExited, Cause: protocol.CauseStopped}))
+	d.adopt(ledger.Key("job-1"), j.Encode(), 6)
+	j.reread = true
+	d.adopt(ledger.Key("job-1"), old, 5)
+	if len(j.Placed) != 0 || j.version != 6 {
+		t.Fatalf("placed %v at version %d", j.Placed, j.version)
+	}
+}
+
+// What is followed can be older than what a transaction's answer has told: a
+// job that is over and dropped isn't brought back by it.
+func TestOldEventsDontBringJobsBack(t *testing.T) {
+	d, j, m, _ := one(t)
+	old := j.Encode()
+	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskExited, Cause: protocol.CauseDone}))
+	j.inFlight = true
+	d.committed([]write{{j, j.changed}}, statestore.Reply[protocol.TxnAnswer]{Status: 200, Value: protocol.TxnAnswer{Revision: 6}})
+	if len(d.jobs) != 0 {
+		t.Fatal("the job isn't over")
+	}
+	d.adopt(ledger.Key("job-1"), old, 5)
+	if len(d.jobs) != 0 {
+		t.Fatal("an old event brought the job back")
+	}
+}
+
+// commits is a state service that keeps transactions until the test answers.
+type commits struct {
+	statestore.Store
+	txns   []protocol.Txn
+	answer func(statestore.Reply[protocol.TxnAnswer])
+}
+
+func (c *commits) Commit(_ statestore.Use, t protocol.Txn, done func(statestore.Reply[protocol.TxnAnswer])) {
+	c.txns, c.answer = append(c.txns, t), done
+}
+
+// A change without an answer may be carried out seconds later. Its places stay taken,
+// and it goes again at the same versions, so that only one of the two can apply.
+func TestUnansweredChangesGoAgain(t *testing.T) {
+	d, box := leader()
+	store := &commits{}
+	d.store = store
+	content := ledger.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeArray, Tasks: 2}, 1)
+	d.adopt(ledger.Key("job-1"), content.Encode(), 5)
+	j := d.jobs["job-1"]
+	d.place(j, ledger.Placement{Task: 0, Try: 1, Machine: "m-1", Shift: 1})
+	d.commit()
+	store.answer(statestore.Reply[protocol.TxnAnswer]{})
+	if len(j.Placed) != 1 || j.reread || j.committed(j.Placed[0]) {
+		t.Fatalf("placed %v, to be read again %v", j.Placed, j.reread)
+	}
+	box.Now += retryDelay
+	d.commit()
+	if len(store.txns) != 2 || fmt.Sprint(store.txns[0]) != fmt.Sprint(store.txns[1]) {
+		t.Fatalf("transactions %v", store.txns)
+	}
+	// The first has applied meanwhile: the record tells.
+	store.answer(statestore.Reply[protocol.TxnAnswer]{Status: 409, Value: protocol.TxnAnswer{Failed: []string{ledger.Key("job-1")}}})
+	if !j.reread {
+		t.Fatal("the record isn't read")
+	}
+}
+
+// A cancellation that is followed while a change of the same record is under way is
+// final, whatever becomes of the change: the job's tasks needn't wait for its answer.
+func TestCancellationsDontWaitForChanges(t *testing.T) {
+	d, j, m, box := one(t)
+	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskRunning}))
+	j.inFlight = true
+	cancelled := *j.Job
+	cancelled.Status, cancelled.CancelledAt = protocol.StatusCancelled, int64(box.Now)
+	d.adopt(ledger.Key("job-1"), cancelled.Encode(), 6)
+	if orders := d.orders(m, true); len(orders) != 1 || orders[0].Verb != protocol.VerbStop {
+		t.Fatalf("orders %v", orders)
+	}
+}
