--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -47,7 +47,9 @@
 	// caught up with them: an older version that still comes is not news.
 	retired    map[string]int64
 	unreadable map[string]bool // jobs whose records make no sense
-	released   map[string]bool // released machines: what is still heard of them is old
+	// released are machines that were returned, and when: what is still heard of them is
+	// old. They are kept for releasedTime.
+	released   map[string]clock.Micros
 	loaded     bool
 	begunAt    clock.Micros // when this term began here
 	freshAt    clock.Micros // everything in the records before this is known
@@ -151,7 +153,7 @@
 // begin takes over: records first, then every machine's own word.
 func (d *Dispatch) begin() {
 	slog.Info("taking over", "epoch", d.term.Epoch)
-	d.jobs, d.machines, d.roster, d.released = map[string]*job{}, map[string]*machine{}, nil, map[string]bool{}
+	d.jobs, d.machines, d.roster, d.released = map[string]*job{}, map[string]*machine{}, nil, map[string]clock.Micros{}
 	d.unreadable, d.retired = map[string]bool{}, map[string]int64{}
 	d.answerDeferred()
 	d.deferring = true
@@ -223,6 +225,7 @@
 		d.drain()
 		d.remind()
 		d.manageFleet()
+		d.forgetReleased()
 		d.shareCatalogue()
 		if d.now() > d.cordonAt+cordonTime {
 			d.cordonAt = d.now()
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -52,7 +52,7 @@
 		clear(d.addresses)
 	}
 	d.addresses[r.Machine] = r.Address
-	if !d.leads() && !d.keeps() || d.released[r.Machine] {
+	if !d.leads() && !d.keeps() || d.wasReleased(r.Machine) {
 		hint := d.leader
 		if hint == d.set.Node {
 			hint = ""
--- a/internal/dispatch/reconcile_test.go
+++ b/internal/dispatch/reconcile_test.go
@@ -112,9 +112,9 @@
 // A placement read back for a machine that was released meanwhile is gone with it:
 // nothing will ever be heard of that machine again.
 func TestPlacesOnReleasedMachinesAreFree(t *testing.T) {
-	d, j, _, _ := one(t)
+	d, j, _, box := one(t)
 	old := j.Encode()
-	d.released["m-1"] = true
+	d.released["m-1"] = box.Now
 	delete(d.machines, "m-1")
 	d.roster = nil
 	j.reread = true
@@ -128,6 +128,15 @@
 	if status != 421 || d.machines["m-1"] != nil {
 		t.Fatalf("answered %d, known %v", status, d.machines["m-1"] != nil)
 	}
+	// A term of months doesn't remember all that it returned.
+	box.Now += releasedTime
+	if d.forgetReleased(); !d.wasReleased("m-1") {
+		t.Error("forgotten too early")
+	}
+	box.Now++
+	if d.forgetReleased(); len(d.released) > 0 {
+		t.Errorf("%d released machines are kept", len(d.released))
+	}
 }
 
 // A machine that loses its session though it was answered doesn't hear: it gets
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -136,7 +136,7 @@
 	}
 	on := map[string]*machine{}
 	for _, p := range inOrder(content.Placed) {
-		if d.released[p.Machine] {
+		if d.wasReleased(p.Machine) {
 			// Released meanwhile, with all on it: the record is behind.
 			d.unplace(j, p)
 			continue
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"net/http"
 	"slices"
 
@@ -66,13 +67,29 @@
 			delete(d.machines, name)
 			delete(d.addresses, name)
 			delete(d.renting.refused, m.kind()) // there is one to be had again
-			d.released[name] = true
+			d.released[name] = d.now()
 		}
 		d.roster = slices.DeleteFunc(slices.Clone(d.roster), func(m *machine) bool { return d.machines[m.name] != m })
 		d.wake()
 	})
 }
 
+// wasReleased tells that a machine was returned in this term, not long ago.
+func (d *Dispatch) wasReleased(name string) bool {
+	_, released := d.released[name]
+	return released
+}
+
+// forgetReleased keeps what a long term remembers bounded.
+func (d *Dispatch) forgetReleased() {
+	old := d.now() - releasedTime
+	maps.DeleteFunc(d.released, func(_ string, at clock.Micros) bool { return at < old })
+}
+
+// releasedTime is far beyond any delay of a report or a list. A machine of which still
+// older word came would be taken for an unexpected one, and be returned once more.
+const releasedTime = 15 * 60 * clock.Second
+
 // listMachines reads the cloud's list: addresses, strays and failures.
 func (d *Dispatch) listMachines() {
 	d.renting.listing = true
@@ -109,7 +126,7 @@
 }
 
 func (d *Dispatch) noteListed(x protocol.ListedMachine) {
-	if d.released[x.Name] {
+	if d.wasReleased(x.Name) {
 		return
 	}
 	fresh := d.machines[x.Name] == nil
