Tidy after reading the whole change once more; no decision changes

Pools of connections take one number, since all callers gave the same twice and the same idle time. Released machines are forgotten where new ones are noted, not at each tick. Whether a team has a guarantee is asked in one place. In the simulated world the cost of a message belongs to the world, not to each process and deployment, and a job is accepted if it has a time of that. The users' tests take a submission as a structure: its form on the wire stands in protocol's tests alone. An assertion that only kept an import is gone.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -46,7 +46,7 @@
 }
 
 // New makes a client of the cloud at an address.
-func New(addr string) *Client { return &Client{"http://" + addr, transport.New(4, 4, transport.Kept)} }
+func New(addr string) *Client { return &Client{"http://" + addr, transport.New(4)} }
 
 // For gives the interface whose answers arrive in the given mailbox.
 func (c *Client) For(m actor.Mailbox) API { return &bound{c, m} }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -225,7 +225,6 @@
 		d.drain()
 		d.remind()
 		d.manageFleet()
-		d.forgetReleased()
 		d.shareCatalogue()
 		if d.now() > d.cordonAt+cordonTime {
 			d.cordonAt = d.now()
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -69,6 +69,7 @@
 			delete(d.renting.refused, m.kind()) // there is one to be had again
 			d.released[name] = d.now()
 		}
+		d.forgetReleased()
 		d.roster = slices.DeleteFunc(slices.Clone(d.roster), func(m *machine) bool { return d.machines[m.name] != m })
 		d.wake()
 	})
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -29,7 +29,7 @@
 		}
 	}
 	d.views = s.Machines
-	evictions := d.evictionsPossible()
+	evictions := d.evictionsPossible(s.Teams)
 	for _, j := range inOrder(d.jobs) {
 		team := s.Teams[j.Spec.Team]
 		needs := planner.Needs(&j.Spec)
@@ -178,9 +178,9 @@
 
 // evictionsPossible tells that some job could make another yield: what stopping tasks
 // would lose is worth computing only then, thousands of times in each plan.
-func (d *Dispatch) evictionsPossible() bool {
-	for _, t := range d.set.Deployment.Teams {
-		if t.Cpus > 0 || t.Gpus > 0 {
+func (d *Dispatch) evictionsPossible(teams map[string]planner.Team) bool {
+	for _, t := range teams {
+		if t.Guaranteed() {
 			return true
 		}
 	}
@@ -196,7 +196,7 @@
 func (d *Dispatch) markWithin(s *planner.Snapshot) {
 	left := map[string]planner.Amounts{}
 	for name, t := range s.Teams {
-		if t.Guarantee.Cpus > 0 || t.Guarantee.Gpus > 0 {
+		if t.Guaranteed() {
 			left[name] = t.Guarantee
 		}
 	}
@@ -233,7 +233,7 @@
 	guaranteed := false
 	excess := map[string]planner.Amounts{}
 	for name, t := range s.Teams {
-		guaranteed = guaranteed || t.Guarantee.Cpus > 0 || t.Guarantee.Gpus > 0
+		guaranteed = guaranteed || t.Guaranteed()
 		excess[name] = t.Used.Minus(t.Guarantee)
 	}
 	if !guaranteed {
--- a/internal/intake/admission_test.go
+++ b/internal/intake/admission_test.go
@@ -4,33 +4,15 @@
 	"strings"
 	"testing"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"postpoint/internal/protocol"
 	"postpoint/internal/settings"
 )
 
-// submission is as users send it.
-func submission() map[string]any {
-	return map[string]any{
-		"Uid": "job-000412", "Lane": "train", "Desk": "vision", "Shape": "ensemble", "Rank": "urgent", "Legs": 4,
-		"Vcpus": 8.0, "Gpus": 1.0, "MemGb": 64.0, "Bundle": "img-07", "PullGb": 6.2, "Fleets": []string{"g8"}, "Hall": nil,
-		"SamePlace": true, "Spread": false, "Loaners": true, "ExpectedS": 240.0, "SnapshotS": 30, "FlushS": 4.0, "DueS": 900.0,
-		"Unknown": "ignored",
-	}
-}
-
-func decodeSubmission(t *testing.T, fields any) protocol.JobSpec {
-	t.Helper()
-	raw, err := msgpack.Marshal(fields)
-	if err != nil {
-		t.Fatal(err)
-	}
-	spec, err := protocol.DecodeSubmission(raw)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return spec
+func submission() protocol.JobSpec {
+	due := 900.0
+	return protocol.JobSpec{ID: "job-000412", Class: "train", Team: "vision", Shape: protocol.ShapeGang, Rank: "urgent", Tasks: 4,
+		Cpus: 8, Gpus: 1, MemoryGB: 64, Image: "img-07", ImageGB: 6.2, Types: []string{"g8"}, OneZone: true, Spot: true,
+		EstimateS: 240, CheckpointS: 30, SaveS: 4, DeadlineS: &due}
 }
 
 // What can never run is refused with its reason.
@@ -52,7 +34,7 @@
 		{func(s *protocol.JobSpec) { s.Spread = true }, "spread"},
 		{func(s *protocol.JobSpec) { s.Tasks, s.Gpus, s.Cpus = 5000, 0, 0 }, "too large"},
 	} {
-		spec := decodeSubmission(t, submission())
+		spec := submission()
 		c.change(&spec)
 		if why := neverRuns(&spec, dep, types); why != c.why && (c.why == "" || !strings.Contains(why, c.why)) {
 			t.Errorf("%+v: %q, not %q", spec, why, c.why)
--- a/internal/intake/persistent.go
+++ b/internal/intake/persistent.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -168,5 +167,3 @@
 func (b *bufferedResponse) Header() http.Header               { return b.header }
 func (b *bufferedResponse) WriteHeader(status int)            { b.status = status }
 func (b *bufferedResponse) Write(content []byte) (int, error) { return b.body.Write(content) }
-
-var _ net.Conn = (*connection)(nil)
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -7,8 +7,6 @@
 	"strings"
 	"testing"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"postpoint/internal/actor/actortest"
 	"postpoint/internal/clock"
 	"postpoint/internal/ledger"
@@ -37,14 +35,8 @@
 func TestNewJobsWaitWhileMemoryIsFull(t *testing.T) {
 	set := &settings.Settings{}
 	set.Deployment.Teams = []settings.Team{{Name: "vision"}}
-	raw, err := msgpack.Marshal(submission())
-	if err != nil {
-		t.Fatal(err)
-	}
-	spec, err := protocol.DecodeSubmission(raw)
-	if err != nil {
-		t.Fatal(err)
-	}
+	spec := submission()
+	raw := protocol.Encode(spec)
 	for _, known := range []bool{false, true} {
 		store := holding{}
 		if known {
@@ -104,10 +96,7 @@
 		h.ServeHTTP(w, httptest.NewRequest(method, path, bytes.NewReader(body)))
 		return w
 	}
-	good, err := msgpack.Marshal(submission())
-	if err != nil {
-		t.Fatal(err)
-	}
+	good := protocol.Encode(submission())
 	report := func(name string) []byte {
 		return protocol.Encode(protocol.Report{Machine: name, Address: "a:1", Shift: 1})
 	}
--- a/internal/planner/snapshot.go
+++ b/internal/planner/snapshot.go
@@ -120,6 +120,9 @@
 	BacklogS float64
 }
 
+// Guaranteed tells that the team has a guarantee.
+func (t *Team) Guaranteed() bool { return t.Guarantee.Cpus > 0 || t.Guarantee.Gpus > 0 }
+
 func (t *Team) allows(a Amounts, n int) bool {
 	k := float64(n)
 	return (t.Limit.Cpus == 0 || t.Used.Cpus+k*a.Cpus <= t.Limit.Cpus+slack) &&
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -80,9 +80,9 @@
 	}
 	return &Client{
 		base:     "http://" + addr,
-		calls:    transport.New(16, 16, transport.Kept),
-		leading:  transport.New(4, 4, transport.Kept),
-		follows:  transport.New(4, 4, transport.Kept),
+		calls:    transport.New(16),
+		leading:  transport.New(4),
+		follows:  transport.New(4),
 		requests: share(s.Rps, 0.7),
 		reads:    share(s.Rps, 0.55),
 		changes:  share(s.WriteRps, 0.8),
--- a/internal/testkit/deployment.go
+++ b/internal/testkit/deployment.go
@@ -22,7 +22,6 @@
 	spec       protocol.JobSpec
 	run        clock.Micros
 	mistaken   bool
-	accepted   bool
 	told       string // the last final state
 	cancelled  clock.Micros
 	wantsEnd   bool
@@ -35,6 +34,9 @@
 	places     map[int]map[*Worker]bool
 }
 
+// accepted tells whether any node has accepted the job.
+func (j *Job) accepted() bool { return j.acceptedAt != 0 }
+
 func (j *Job) needs() planner.Amounts { return planner.Needs(&j.spec) }
 
 // Done tells whether every task has completed.
@@ -82,8 +84,6 @@
 	byAddr      map[string]*Worker
 	used        map[string]planner.Amounts // by team, on machines
 	Commands    int                        // direct ones
-	// Cost is what a message costs in each process that starts: see Process.
-	Cost clock.Micros
 	// address gives a new worker its address.
 	address func(name string) string
 }
@@ -121,13 +121,12 @@
 // Up tells whether a process runs.
 func (n *Node) Up() bool { return n.proc.alive }
 
-// StartNode runs a new process of the node, wired as in cmd/postpoint.
+// StartNode runs a new process of the node, wired as in internal/controller.
 func (d *Deployment) StartNode(n *Node) {
 	if n.proc != nil && n.proc.alive {
 		return
 	}
 	p := d.World.process()
-	p.Cost = d.Cost
 	n.proc = p
 	n.runs++
 	set := *d.Settings
@@ -249,8 +248,7 @@
 	d.ask(intake.Request{Kind: intake.Submit, Body: protocol.Encode(j.spec)}, func(status int, s protocol.JobStatus) {
 		switch status {
 		case http.StatusCreated, http.StatusOK:
-			first := !j.accepted
-			j.accepted = true
+			first := !j.accepted()
 			if first {
 				j.acceptedAt = d.World.now
 			}
@@ -298,7 +296,7 @@
 
 // Cancel has the user cancel the job.
 func (d *Deployment) Cancel(j *Job) {
-	if !j.accepted {
+	if !j.accepted() {
 		return
 	}
 	j.wantsEnd = true
@@ -465,7 +463,7 @@
 	began := d.World.now
 	d.World.Every(5*clock.Second, func() {
 		for _, j := range d.order {
-			if j.accepted && !j.wantsEnd && j.told == "" && d.World.now > max(j.heardAt, began)+longest {
+			if j.accepted() && !j.wantsEnd && j.told == "" && d.World.now > max(j.heardAt, began)+longest {
 				d.World.Break("unanswered", "%s since %.0f s", j.spec.ID, j.heardAt.Seconds())
 			}
 		}
@@ -497,7 +495,7 @@
 	began := d.World.now
 	d.World.Every(2*clock.Second, func() {
 		for _, j := range d.order {
-			if !j.accepted || j.wantsEnd || j.told != "" || j.mistaken || d.onMachines(j) || !d.roomFor(j) {
+			if !j.accepted() || j.wantsEnd || j.told != "" || j.mistaken || d.onMachines(j) || !d.roomFor(j) {
 				j.idleAt = d.World.now
 			} else if d.World.now > max(j.idleAt, began)+longest {
 				d.World.Break("left_waiting", "%s since %.0f s", j.spec.ID, j.idleAt.Seconds())
--- a/internal/testkit/rules_test.go
+++ b/internal/testkit/rules_test.go
@@ -225,7 +225,7 @@
 	w := d.World
 	hung := 0
 	for _, j := range d.Jobs() {
-		if n == 0 || !j.accepted || j.wantsEnd || j.told != "" || !d.onMachines(j) {
+		if n == 0 || !j.accepted() || j.wantsEnd || j.told != "" || !d.onMachines(j) {
 			continue
 		}
 		n--
@@ -246,7 +246,7 @@
 func oddRequests(d *Deployment) {
 	for i, j := range d.Jobs() {
 		switch {
-		case j.accepted && j.told == "":
+		case j.accepted() && j.told == "":
 			d.submit(j)
 		case j.told == protocol.StatusDone && i%3 == 0:
 			d.Cancel(j)
@@ -330,7 +330,7 @@
 				t.Fatalf("accepted but not done: %v", left)
 			}
 			for _, j := range d.Jobs() {
-				if j.wantsEnd && j.accepted && j.told == "" {
+				if j.wantsEnd && j.accepted() && j.told == "" {
 					t.Fatalf("%s was never told cancelled", j.spec.ID)
 				}
 			}
--- a/internal/testkit/scale_test.go
+++ b/internal/testkit/scale_test.go
@@ -180,10 +180,7 @@
 	d.State.Kept, d.State.Page = 10_000, 500
 	d.Cloud.Reliable = true
 	d.Cloud.Capacity = map[fleet.Kind]int{{Type: "small", Zone: "a"}: 400, {Type: "small", Zone: "b"}: 200}
-	d.Cost = 2 * clock.Millisecond
-	for _, n := range d.Nodes {
-		n.proc.Cost = d.Cost
-	}
+	w.MessageCost = 2 * clock.Millisecond
 	submit := func(tasks int, run clock.Micros) {
 		d.Submit(protocol.JobSpec{ID: fmt.Sprintf("job-%06d", len(d.order)), Class: "c", Team: "open", Shape: protocol.ShapeArray,
 			Rank: "normal", Tasks: tasks, Cpus: 2, MemoryGB: 1, Image: "i", EstimateS: run.Seconds()}, run, false)
--- a/internal/testkit/scenes_test.go
+++ b/internal/testkit/scenes_test.go
@@ -101,7 +101,7 @@
 	w.Run(w.Now() + 10*clock.Second)
 	j := d.Submit(array("job-000001", "open", 1, 2, 5), 5*clock.Second, false)
 	w.Run(w.Now() + 2*clock.Second)
-	if !j.accepted {
+	if !j.accepted() {
 		t.Fatal("not accepted")
 	}
 }
@@ -423,7 +423,7 @@
 	huge := d.Submit(protocol.JobSpec{ID: "job-000001", Class: "huge", Team: "open", Shape: protocol.ShapeArray, Rank: "normal",
 		Tasks: 100_000, Cpus: 1, MemoryGB: 1, Image: "i", EstimateS: 20}, 20*clock.Second, false)
 	w.Run(12 * clock.Second)
-	if !huge.accepted {
+	if !huge.accepted() {
 		t.Fatal("not accepted within two seconds")
 	}
 	w.Run(60 * clock.Second)
--- a/internal/testkit/world.go
+++ b/internal/testkit/world.go
@@ -39,6 +39,9 @@
 	seq    int
 	agenda agenda
 	Rand   *rand.Rand
+	// MessageCost is what a process takes to handle a message, one after another; 0 for
+	// processors that are never short.
+	MessageCost clock.Micros
 	// Broken are the broken rules, in the order in which they were seen.
 	Broken []string
 }
@@ -92,9 +95,7 @@
 	alive bool
 	start clock.Micros
 	drift float64
-	// Cost is what handling a message takes, one after another, if the processor is to be
-	// short; busyUntil is when those that have come are handled.
-	Cost      clock.Micros
+	// busyUntil is when the messages that have come are handled: see World.MessageCost.
 	busyUntil clock.Micros
 	// While it stands still its clocks run on, and what would happen in it waits.
 	still   bool
@@ -125,8 +126,8 @@
 	switch {
 	case p.still:
 		p.waiting = append(p.waiting, do)
-	case p.alive && p.Cost > 0:
-		p.busyUntil = max(p.busyUntil, p.w.now) + p.Cost
+	case p.alive && p.w.MessageCost > 0:
+		p.busyUntil = max(p.busyUntil, p.w.now) + p.w.MessageCost
 		p.w.After(p.busyUntil-p.w.now, func() {
 			if p.alive {
 				do()
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -15,23 +15,23 @@
 	"postpoint/internal/clock"
 )
 
-// Kept is how long idle connections to systems that are asked all the time last.
-const Kept = 90 * clock.Second
+// keptTime is how long idle connections last: pools are for systems that are asked all
+// the time.
+const keptTime = 90 * time.Second
 
 // Client is a pool of persistent connections to one kind of outside system.
 type Client struct{ http *http.Client }
 
-// New bounds the connections to any one address, and how many are kept idle to
-// all addresses together and for how long.
-func New(perHost, idle int, idleTime clock.Micros) *Client {
+// New bounds the connections, all of which are kept while they are idle.
+func New(connections int) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{&http.Client{
 		Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
-			MaxConnsPerHost:     perHost,
-			MaxIdleConns:        idle,
-			MaxIdleConnsPerHost: perHost,
-			IdleConnTimeout:     idleTime.Duration(),
+			MaxConnsPerHost:     connections,
+			MaxIdleConns:        connections,
+			MaxIdleConnsPerHost: connections,
+			IdleConnTimeout:     keptTime,
 			DisableCompression:  true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
