--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -28,6 +28,16 @@
 	must(Run(&s, Options{LeaseTTL: 4 * clock.Second}))
 }
 
+// startAlone starts a process that runs a controller.
+func startAlone(set *settings.Settings) *exec.Cmd {
+	raw, err := json.Marshal(set)
+	must(err)
+	child := exec.Command(os.Args[0])
+	child.Env = append(os.Environ(), controllerVariable+"="+string(raw))
+	must(child.Start())
+	return child
+}
+
 // A machine that is too small is refused with the field's name, its value and the least.
 func TestTooSmallMachinesAreRefused(t *testing.T) {
 	least := settings.MachineLimits{CPU: MinCPU, MemoryMb: MinMemoryMB, MaxSockets: MinSockets}
@@ -71,13 +81,7 @@
 	for _, l := range []interface{ Close() error }{bind, internal, nobody} {
 		l.Close()
 	}
-	raw, err := json.Marshal(set)
-	must(err)
-	child := exec.Command(os.Args[0])
-	child.Env = append(os.Environ(), controllerVariable+"="+string(raw))
-	if err := child.Start(); err != nil {
-		t.Fatal(err)
-	}
+	child := startAlone(set)
 	defer func() {
 		_ = child.Process.Kill()
 		_ = child.Wait()
--- a/internal/controller/loopback_test.go
+++ b/internal/controller/loopback_test.go
@@ -319,14 +319,10 @@
 // its own.
 func BenchmarkStartUp(b *testing.B) {
 	_, set := startStandIns(b)
-	raw, err := json.Marshal(set)
-	must(err)
 	var wall, processor time.Duration
 	for range b.N {
-		child := exec.Command(os.Args[0])
-		child.Env = append(os.Environ(), controllerVariable+"="+string(raw))
 		began := time.Now()
-		must(child.Start())
+		child := startAlone(set)
 		for {
 			answer, err := http.Get("http://" + set.Bind + "/up")
 			if err == nil {
@@ -363,12 +359,8 @@
 	})
 }
 
-func BenchmarkSteadyState(b *testing.B) {
-	s, set := startStandIns(b)
-	startController(set)
-	time.Sleep(settleTime)
-	phase(b, s, func() { time.Sleep(time.Duration(*seconds) * time.Second) })
-}
+// Nothing but what users and workers always do.
+func BenchmarkSteadyState(b *testing.B) { benchmarkTrouble(b, "") }
 
 // A burst of submissions.
 func BenchmarkBurst(b *testing.B) { benchmarkTrouble(b, "burst") }
