--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -17,6 +17,7 @@
 	"postpoint/internal/leadership"
 	"postpoint/internal/peer"
 	"postpoint/internal/protocol"
+	"postpoint/internal/rollout"
 	"postpoint/internal/settings"
 	"postpoint/internal/statestore"
 )
@@ -84,7 +85,7 @@
 // Run starts the actors and serves until one of the listeners fails.
 func Run(s *settings.Settings, o Options) error {
 	machineClock := clock.System()
-	state := statestore.New(s.Outside.State, s.Deployment.State)
+	state := statestore.New(s.Outside.State, s.Deployment.State.Tightest())
 	var peers []string
 	for _, p := range s.Known {
 		peers = append(peers, p.PeerAddr)
@@ -117,8 +118,16 @@
 	users = intake.New(usersBox, state.For(usersBox), s, peer.NewForwarder(peers, usersBox).Forward)
 	users.RefuseWhen(memoryFull(s.Deployment.MachineLimits.MemoryMb))
 
+	rolloutBox := actor.New(machineClock)
+	upgrade := rollout.New(rolloutBox, state.For(rolloutBox), s.Node, s.Nodes(),
+		leader.Start, // what this node writes comes after its format
+		func(status rollout.Status) {
+			dispatcher.Format(status)
+			users.Format(status)
+		})
+
 	dispatcher.Start()
-	leader.Start()
+	upgrade.Start()
 	failed := make(chan error, 2)
 	go func() { failed <- peer.Serve(s.InternalAddr, users) }()
 	go func() {
--- a/internal/dispatch/aims.go
+++ b/internal/dispatch/aims.go
@@ -46,6 +46,9 @@
 // startsSoon tells that a class is to start sooner than a machine boots: only
 // places that are there already can do that.
 func (d *Dispatch) startsSoon(class string) bool {
+	if u := d.classSeen[class]; u.spec.Service() {
+		return true // each second until its replicas run is missed by its users
+	}
 	boot := 0.0
 	for _, t := range d.catalogue {
 		boot = max(boot, t.BootS)
@@ -61,6 +64,9 @@
 // can still wait before its tasks must run. Clocks of day differ by little
 // against the times at hand.
 func (d *Dispatch) aims(j *job) (planner.Tier, float64) {
+	if j.Spec.Service() {
+		return planner.StartsInTime, 0 // its users wait for whatever doesn't run
+	}
 	age := (d.mailbox.OfDay() - clock.Micros(j.SubmittedAt)).Seconds()
 	begun := len(j.Placed)+j.Done.Len() > 0
 	tier := planner.TooLate
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -17,9 +17,53 @@
 // sizes are counted as JSON, which is a little longer than what is measured.
 const txnBytes = 40 << 10
 
+// head stands for a job's record, or the head of a divided one, where parts are numbered.
+const head = -1
+
+// write is a change of one stored value of a job.
 type write struct {
 	j       *job
+	v       *storedValue
+	part    int // or head
 	changed int
+	// guard is the version of the head that a part's change depends on.
+	guard  int64
+	remove bool
+}
+
+func (w *write) key() string {
+	if w.part == head {
+		return ledger.Key(w.j.Spec.ID)
+	}
+	return ledger.PartKey(w.j.Spec.ID, w.part)
+}
+
+// change is what is written, made when it is sent.
+func (w *write) change() protocol.Change {
+	switch {
+	case w.part == head:
+		return protocol.Change{Put: w.key(), Value: w.j.Encode()}
+	case w.remove:
+		return protocol.Change{Delete: w.key()}
+	}
+	return protocol.Change{Put: w.key(), Value: w.j.EncodePart(w.part)}
+}
+
+// Urgencies of changes of one rank.
+const (
+	urgentWhole   = iota // a whole job waits for it
+	urgentStart          // some tasks of a job wait for it
+	urgentDivide         // a job starts nothing more until then
+	urgentEnds           // ends of some tasks among many, that nobody waits for
+	urgentRemoval        // of parts that nobody needs any more
+)
+
+// unit are changes that go in one transaction or not at all.
+type unit struct {
+	writes  []write
+	rank    int
+	urgency int
+	dirtyAt clock.Micros
 }
 
 // commit writes changed records, many in one transaction, each guarded by its
@@ -28,92 +72,251 @@
 	if d.committing || d.now() < d.pauseUntil {
 		return
 	}
-	var dirty []*job
-	for _, j := range d.jobs {
-		if j.reread {
-			d.readAgain(j)
-		} else if !j.inFlight && j.changed != j.durable && d.now() >= j.dirtyAt+d.commitDelay(j) {
-			dirty = append(dirty, j)
+	units := d.dirtyUnits()
+	if len(units) == 0 {
+		d.sweepOrphans()
+		return
+	}
+	slices.SortFunc(units, func(a, b unit) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.dirtyAt, b.dirtyAt),
+			cmp.Compare(a.writes[0].j.Spec.ID, b.writes[0].j.Spec.ID), cmp.Compare(a.writes[0].part, b.writes[0].part))
+	})
+	t := transaction{Txn: protocol.Txn{Guards: []protocol.Guard{{Key: leadership.Key, Version: d.term.Epoch}}}}
+	for _, u := range units {
+		d.add(&t, u)
+	}
+	if len(t.writes) > 0 {
+		d.send(t)
+	}
+}
+
+// transaction is a transaction in the making.
+type transaction struct {
+	protocol.Txn
+	writes []write
+	size   int
+}
+
+// guard adds a condition once.
+func (t *transaction) guard(key string, version int64) {
+	g := protocol.Guard{Key: key, Version: version}
+	if !slices.Contains(t.Guards, g) {
+		t.Guards = append(t.Guards, g)
+	}
+}
+
+// add takes a unit into the transaction if there is room for all of it.
+func (d *Dispatch) add(t *transaction, u unit) {
+	limit, txnOps := d.recordLimits()
+	if len(t.writes)+len(u.writes) > txnOps {
+		return
+	}
+	changes := make([]protocol.Change, len(u.writes))
+	size := t.size
+	for i := range u.writes {
+		w := &u.writes[i]
+		changes[i] = w.change()
+		n := len(changes[i].Value)
+		size += n
+		if d.tooLarge(w, changes[i].Value, limit) {
+			return
 		}
 	}
-	if len(dirty) == 0 {
+	if len(t.writes) > 0 && size > txnBytes {
 		return
 	}
-	slices.SortFunc(dirty, func(a, b *job) int {
-		return cmp.Or(protocol.RankOf(a.Spec.Rank)-protocol.RankOf(b.Spec.Rank), cmp.Compare(d.urgency(a), d.urgency(b)),
-			cmp.Compare(a.dirtyAt, b.dirtyAt), cmp.Compare(a.Spec.ID, b.Spec.ID))
-	})
-	t := protocol.Txn{Guards: []protocol.Guard{{Key: leadership.Key, Version: d.term.Epoch}}}
-	var writes []write
-	size := 0
-	for _, j := range dirty {
-		value := j.Encode()
-		if len(writes) > 0 && (len(writes) == d.set.Deployment.State.TxnOps || size+len(value) > txnBytes) {
-			break
+	t.size = size
+	for i, w := range u.writes {
+		if w.part != head {
+			t.guard(ledger.Key(w.j.Spec.ID), w.j.version)
 		}
-		size += len(value)
-		key := ledger.Key(j.Spec.ID)
-		t.Guards = append(t.Guards, protocol.Guard{Key: key, Version: j.version})
-		t.Changes = append(t.Changes, protocol.Change{Put: key, Value: value})
-		writes = append(writes, write{j, j.changed})
-		j.inFlight, j.dirtyAt = true, d.now()
+		t.guard(w.key(), w.v.version)
+		t.Changes = append(t.Changes, changes[i])
+		t.writes = append(t.writes, w)
+		w.v.inFlight, w.v.dirtyAt = true, d.now()
+	}
+}
+
+// tooLarge tells that a value can't be stored as it is. An undivided record is divided if
+// it may be; until then its job goes on with what is stored, and other changes go out.
+func (d *Dispatch) tooLarge(w *write, value []byte, limit int) bool {
+	if len(value) < limit/2 && w.v.refusedBytes == 0 {
+		return false
+	}
+	size := protocol.JSONSize(value)
+	if size <= limit && (w.v.refusedBytes == 0 || size < w.v.refusedBytes) {
+		return false
+	}
+	if w.part == head && w.j.PartSize == 0 && d.format.Open {
+		d.divide(w.j)
+		d.wake()
 	}
+	return true
+}
+
+// send commits a transaction.
+func (d *Dispatch) send(t transaction) {
 	d.committing = true
 	epoch := d.term.Epoch
-	d.store.Commit(statestore.ForLeader, t, func(r statestore.Reply[protocol.TxnAnswer]) {
+	d.store.Commit(statestore.ForLeader, t.Txn, func(r statestore.Reply[protocol.TxnAnswer]) {
 		if d.term.Epoch != epoch {
 			return
 		}
 		d.committing = false
-		d.committed(writes, r)
+		d.committed(t.writes, r)
 		d.wake()
 	})
 }
 
-// urgency orders the changes of one rank: what a whole job waits for, then
+// dirtyUnits are the changes that are due, and reads those records again that must be.
+func (d *Dispatch) dirtyUnits() []unit {
+	var units []unit
+	for _, j := range d.jobs {
+		switch {
+		case j.reread:
+			d.readAgain(j)
+		case j.partsUnread:
+		default:
+			units = append(units, d.unitsOf(j)...)
+		}
+	}
+	return units
+}
+
+// unitsOf are the changes of one job that are due.
+func (d *Dispatch) unitsOf(j *job) []unit {
+	var units []unit
+	rank := protocol.RankOf(j.Spec.Rank)
+	if v := &j.storedValue; !v.inFlight && v.changed != v.durable && (!j.dividing || j.partsStored()) {
+		urgency := headUrgency(j)
+		if d.now() >= v.dirtyAt+commitDelay(urgency, j) {
+			units = append(units, unit{[]write{{j: j, v: v, part: head, changed: v.changed}}, rank, urgency, v.dirtyAt})
+		}
+	}
+	if j.Final() {
+		return append(units, removals(j)...)
+	}
+	_, txnOps := d.recordLimits()
+	parts := unit{rank: rank, urgency: urgentWhole} // of a gang, which starts whole
+	for i, v := range j.parts {
+		if v.isStored() || v.inFlight {
+			continue
+		}
+		w := write{j: j, v: v, part: i, changed: v.changed, guard: j.version}
+		urgency := partUrgency(j, v)
+		switch {
+		case j.Spec.Gang() && !j.dividing && len(j.parts) <= txnOps:
+			parts.writes = append(parts.writes, w)
+			parts.dirtyAt = max(parts.dirtyAt, v.dirtyAt)
+		case d.now() >= v.dirtyAt+commitDelay(urgency, j):
+			units = append(units, unit{[]write{w}, rank, urgency, v.dirtyAt})
+		}
+	}
+	if len(parts.writes) > 0 {
+		units = append(units, parts)
+	}
+	return units
+}
+
+// removals are the parts of a job that is over which hold nothing that may still run.
+func removals(j *job) []unit {
+	if !j.isStored() {
+		return nil // until its end is stored they are needed
+	}
+	needed := map[int]bool{}
+	for task := range j.Placed {
+		if j.PartSize > 0 {
+			needed[j.PartOf(task)] = true
+		}
+	}
+	var units []unit
+	for i, v := range j.parts {
+		if v.version != 0 && !v.inFlight && !needed[i] {
+			units = append(units, unit{[]write{{j: j, v: v, part: i, changed: v.changed, guard: j.version, remove: true}}, removalRank, urgentRemoval, 0})
+		}
+	}
+	return units
+}
+
+// removalRank comes after all ranks.
+const removalRank = 1 << 10
+
+// headUrgency orders the changes of one rank: what a whole job waits for, then
 // starts, then ends of some tasks among many.
-func (d *Dispatch) urgency(j *job) int {
+func headUrgency(j *job) int {
 	switch {
+	case j.dividing:
+		return urgentDivide
 	case j.Final() || j.Spec.Gang() || len(j.fresh) > 0 && len(j.fresh) == len(j.Placed):
-		return 0
+		return urgentWhole
 	case len(j.fresh) > 0:
-		return 1
+		return urgentStart
+	}
+	return urgentEnds
+}
+
+func partUrgency(j *job, v *storedValue) int {
+	switch {
+	case j.dividing:
+		return urgentDivide
+	case len(v.fresh) > 0:
+		return urgentStart
 	}
-	return 2
+	return urgentEnds
 }
 
-// commitDelay is how long a change may wait for others of its record: each write
+// commitDelay is how long a change may wait for others of its value: each write
 // costs a part of the state service's budget however much it changes, and the
-// ends of single tasks, that nobody waits for, come one by one.
-func (d *Dispatch) commitDelay(j *job) clock.Micros {
-	if d.urgency(j) == 2 {
-		return endsTime
+// ends of single tasks, that nobody waits for, come one by one. A divided record costs
+// a write for each of its parts.
+func commitDelay(urgency int, j *job) clock.Micros {
+	switch {
+	case urgency != urgentEnds:
+		return 0
+	case j.PartSize > 0:
+		return partEndsTime
 	}
-	return 0
+	return endsTime
 }
 
-const endsTime = 700 * clock.Millisecond
+const (
+	endsTime     = 700 * clock.Millisecond
+	partEndsTime = 4 * clock.Second
+)
 
-// readAgain replaces what is in memory by the record. Nothing was done about
-// what is lost by this: only durable placements are acted on.
-func (d *Dispatch) readAgain(j *job) {
-	if j.reading {
+// sweepOrphans removes parts that belong to no divided record: a leader ended while it
+// divided one.
+func (d *Dispatch) sweepOrphans() {
+	if len(d.orphans) == 0 {
 		return
 	}
-	j.reading = true
+	_, txnOps := d.recordLimits()
+	t := protocol.Txn{Guards: []protocol.Guard{{Key: leadership.Key, Version: d.term.Epoch}}}
+	for key, version := range inOrder(d.orphans) {
+		if len(t.Changes) == txnOps {
+			break
+		}
+		t.Guards = append(t.Guards, protocol.Guard{Key: key, Version: version})
+		t.Changes = append(t.Changes, protocol.Change{Delete: key})
+	}
+	d.committing = true
 	epoch := d.term.Epoch
-	key := ledger.Key(j.Spec.ID)
-	d.store.Get(key, func(r statestore.Reply[protocol.Item]) {
+	d.store.Commit(statestore.ForLeader, t, func(r statestore.Reply[protocol.TxnAnswer]) {
 		if d.term.Epoch != epoch {
 			return
 		}
-		j.reading = false
-		if d.jobs[j.Spec.ID] != j {
-			return // over meanwhile
-		}
-		if r.Status == http.StatusOK {
-			d.adopt(key, r.Value.Value, r.Value.Version)
-		} else {
+		d.committing = false
+		switch r.Status {
+		case http.StatusOK:
+			for _, c := range t.Changes {
+				delete(d.orphans, c.Delete)
+			}
+		case http.StatusConflict:
+			// Another request has changed them, an earlier copy of this one most likely.
+			for _, key := range r.Value.Failed {
+				delete(d.orphans, key)
+			}
+		default:
 			d.pauseUntil = d.now() + retryDelay
 		}
 		d.wake()
@@ -123,7 +326,7 @@
 // committed handles the answer to a transaction.
 func (d *Dispatch) committed(writes []write, r statestore.Reply[protocol.TxnAnswer]) {
 	for _, w := range writes {
-		w.j.inFlight = false
+		w.v.inFlight = false
 	}
 	switch {
 	case r.Status == http.StatusOK:
@@ -133,6 +336,10 @@
 		d.term.ValidUntil = 0
 		d.deposed(d.term.Epoch + 1)
 		return
+	case r.Status == http.StatusConflict:
+		noteConflicts(writes, r.Value.Failed)
+	case r.Status == http.StatusBadRequest:
+		d.noteRefused(writes, r.Value.Error)
 	case r.Status == http.StatusTooManyRequests || r.Status == http.StatusServiceUnavailable:
 		// Not executed: the same changes go again after a pause.
 		d.pauseUntil = d.now() + retryDelay
@@ -145,19 +352,14 @@
 		slog.Info("a change has no answer, it goes again", "status", r.Status, "reason", r.Value.Error, "records", len(writes))
 		d.pauseUntil = d.now() + retryDelay
 	default:
-		// Refused because somebody else changed a record: only the records tell.
-		if r.Status != http.StatusConflict {
-			slog.Error("a change is refused, reading the records", "status", r.Status, "reason", r.Value.Error, "records", len(writes))
-			d.pauseUntil = d.now() + retryDelay
-		}
+		slog.Error("a change is refused, reading the records", "status", r.Status, "reason", r.Value.Error, "records", len(writes))
+		d.pauseUntil = d.now() + retryDelay
 		for _, w := range writes {
-			if r.Status != http.StatusConflict || slices.Contains(r.Value.Failed, ledger.Key(w.j.Spec.ID)) {
-				w.j.reread = true
-			}
+			w.j.reread = true
 		}
 	}
 	for _, w := range writes {
-		if e := w.j.followedEvent; e != nil {
+		if e := w.j.followedEvent; e != nil && !w.j.inFlight && !w.j.reading {
 			w.j.followedEvent = nil
 			d.adopt(e.Put, e.Value, e.Version)
 		}
@@ -165,12 +367,46 @@
 	}
 }
 
+// noteConflicts has the records read that somebody else has changed: only they tell. A
+// part that was refused for its head alone goes again if the head's change is known by now.
+func noteConflicts(writes []write, failed []string) {
+	for _, w := range writes {
+		j := w.j
+		if slices.Contains(failed, w.key()) || w.part != head && w.guard == j.version && slices.Contains(failed, ledger.Key(j.Spec.ID)) {
+			j.reread = true
+		}
+	}
+}
+
+// noteRefused learns from a change that the state service takes for malformed: its limits
+// have become tighter. The change goes again within tighter ones, first those that were
+// announced, then whatever is found by halves.
+func (d *Dispatch) noteRefused(writes []write, reason string) {
+	slog.Error("a change is too large for the state service", "reason", reason, "values", len(writes), "known", d.tightened)
+	d.pauseUntil = d.now() + retryDelay
+	switch {
+	case !d.tightened:
+		d.tightened = true
+	case len(writes) > 1:
+		d.learnedOps = len(writes) / 2
+	default:
+		w := &writes[0]
+		w.v.refusedBytes = protocol.JSONSize(w.change().Value)
+	}
+}
+
 // noteDurable marks what a transaction has written, and tells the machines concerned.
 func (d *Dispatch) noteDurable(writes []write, revision int64) {
 	touched := map[string]*machine{}
 	for _, w := range writes {
-		w.j.version, w.j.durable = revision, w.changed
-		w.j.fresh = slices.DeleteFunc(w.j.fresh, func(task int) bool {
+		w.v.version, w.v.durable, w.v.refusedBytes = revision, w.changed, 0
+		if w.remove {
+			w.v.version = 0
+		}
+		if w.part == head && w.j.dividing {
+			w.j.noteDivided()
+		}
+		w.v.fresh = slices.DeleteFunc(w.v.fresh, func(task int) bool {
 			p, placed := w.j.Placed[task]
 			if placed && !w.j.committed(p) {
 				return false
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"iter"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"slices"
 
 	"postpoint/internal/actor"
@@ -18,6 +19,7 @@
 	"postpoint/internal/leadership"
 	"postpoint/internal/planner"
 	"postpoint/internal/protocol"
+	"postpoint/internal/rollout"
 	"postpoint/internal/settings"
 	"postpoint/internal/statestore"
 )
@@ -51,9 +53,11 @@
 	// old. They are kept for releasedTime.
 	released   map[string]clock.Micros
 	loaded     bool
-	begunAt    clock.Micros // when this term began here
-	freshAt    clock.Micros // everything in the records before this is known
-	attestedAt clock.Micros // everything that any node told before this is known
+	loading    bool             // the records are being read
+	orphans    map[string]int64 // parts of no divided record, with their versions
+	begunAt    clock.Micros     // when this term began here
+	freshAt    clock.Micros     // everything in the records before this is known
+	attestedAt clock.Micros     // everything that any node told before this is known
 	attesting  bool
 	waking     bool
 	nextStep   clock.Micros // not before, see stepCost
@@ -62,6 +66,7 @@
 	pauseUntil clock.Micros // after a refusal of the state service
 	renting    fleetState
 	views      []planner.Machine // of the last snapshot
+	random     *rand.Rand
 	// deferring tells that reports wait, until the records are read: see deferReport.
 	deferring bool
 	deferred  []func()
@@ -81,6 +86,12 @@
 	spareBatch   int          // see fleet.Cordon
 	resignedAt   clock.Micros
 	shared       bool // the catalogue, in this term
+	// format is how far the controllers' upgrade is.
+	format rollout.Status
+	// tightened tells that the state service was seen to refuse what its first limits allow;
+	// learnedOps is how many changes a transaction may have as far as is known, 0: as set.
+	tightened  bool
+	learnedOps int
 }
 
 // New makes the actor. deposed is told of higher epochs, resign asks to give
@@ -120,6 +131,14 @@
 	})
 }
 
+// Format is told how far the controllers' upgrade is.
+func (d *Dispatch) Format(s rollout.Status) {
+	d.mailbox.Post(func() {
+		d.format = s
+		d.wake()
+	})
+}
+
 // Leads asks, from the actor's own mailbox or a stopped world, whether this node
 // may act as leader now.
 func (d *Dispatch) Leads() bool { return d.leads() }
@@ -154,12 +173,13 @@
 func (d *Dispatch) begin() {
 	slog.Info("taking over", "epoch", d.term.Epoch)
 	d.jobs, d.machines, d.roster, d.released = map[string]*job{}, map[string]*machine{}, nil, map[string]clock.Micros{}
-	d.unreadable, d.retired = map[string]bool{}, map[string]int64{}
+	d.unreadable, d.retired, d.orphans = map[string]bool{}, map[string]int64{}, map[string]int64{}
 	d.answerDeferred()
 	d.deferring = true
 	d.loaded, d.committing, d.waking, d.shared = false, false, false, false
 	d.begunAt, d.freshAt, d.attestedAt, d.attesting, d.plans = d.now(), 0, 0, false, 0
 	d.renting = newFleetState(d.set.Deployment.Cloud.Rps)
+	d.random = newRandom(d.term.Epoch)
 	d.load(d.term.Epoch, "", 0, d.now())
 }
 
@@ -223,6 +243,7 @@
 	if d.leads() {
 		d.expire()
 		d.drain()
+		d.replaceSilent()
 		d.remind()
 		d.manageFleet()
 		d.shareCatalogue()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -15,10 +15,11 @@
 	box := &actortest.Still{Now: 100 * clock.Second}
 	set := &settings.Settings{}
 	set.Deployment.Workers = settings.Workers{ReportS: 2, LeaseS: 12, GangPeerS: 4, CancelS: 30}
+	set.Deployment.State = settings.State{Rps: 100, WriteRps: 40, ValueKb: 8, TxnOps: 5}
 	d := New(box, nil, nil, nil, set, func(int64) {}, func() {}, nil, nil)
 	d.term.Epoch, d.begunAt, d.term.RenewedAt, d.term.ValidUntil = 7, box.Now, box.Now, box.Now+4*clock.Second
 	d.jobs, d.machines, d.released, d.unreadable = map[string]*job{}, map[string]*machine{}, map[string]clock.Micros{}, map[string]bool{}
-	d.retired = map[string]int64{}
+	d.retired, d.orphans, d.random = map[string]int64{}, map[string]int64{}, newRandom(7)
 	d.loaded, d.freshAt, d.waking = true, box.Now, true
 	return d, box
 }
--- a/internal/dispatch/heartbeat_test.go
+++ b/internal/dispatch/heartbeat_test.go
@@ -96,6 +96,10 @@
 		}
 		want := 421
 		if read {
+			store.answer() // the records, and the parts of divided ones after them
+			if status != 0 {
+				t.Fatalf("answered %d before the parts are read", status)
+			}
 			store.answer()
 			want = 200
 		} else {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -12,22 +12,22 @@
 // job is a record with what this leader knows beyond it.
 type job struct {
 	*ledger.Job
-	version int64 // the key's version that the last durable content has
+	// The value at the job's key: the whole record, or the head of a divided one.
+	storedValue
+	parts []*storedValue // of a divided record
+	// dividing tells that the parts of a record are being written whose undivided form is
+	// the valid one until its head says otherwise: see divide.
+	dividing bool
+	// partsUnread tells that a new leader hasn't read the parts yet.
+	partsUnread bool
 
-	changed       int // counts changes of the content
-	durable       int // the count that is in the record
-	inFlight      bool
 	reread        bool // the record must be read before anything else happens
 	reading       bool
 	followedEvent *protocol.Event // what was followed while a change was in flight
-	// dirtyAt is since when the content differs from the record.
-	dirtyAt clock.Micros
 
-	// proposed holds, for each placement, the count of changes at its proposal:
+	// proposed holds, for each placement, the count of its value's changes at its proposal:
 	// it is in the record once the durable count has reached that.
 	proposed map[int]int
-	// fresh are the tasks whose placements aren't in the record yet.
-	fresh []int
 	// running is what the planner is shown, kept until a placement changes.
 	running      []planner.Running
 	runningSince []clock.Micros
@@ -37,6 +37,7 @@
 	failures  int
 	notBefore clock.Micros
 	avoid     map[string]bool
+	restarts  map[int]restart // of a service's replicas
 	// cancelled tells that a user was told so; the record may still be behind.
 	cancelled bool
 	// cancelledAt is when that was, or somewhat earlier. It may lie before this process
@@ -55,29 +56,39 @@
 }
 
 // committed tells that a placement is in the record: only then is it acted on.
-func (j *job) committed(p ledger.Placement) bool { return j.proposed[p.Task] <= j.durable }
+func (j *job) committed(p ledger.Placement) bool {
+	return !j.partsUnread && j.proposed[p.Task] <= j.valueOf(p.Task).durable
+}
+
+func newJob() *job {
+	return &job{avoid: map[string]bool{}, stops: map[int]stop{}, proposed: map[int]int{}, restarts: map[int]restart{}, runningStale: true}
+}
 
 // over tells that nothing of the job may start or stay any more.
 func (j *job) over() bool { return j.Final() || j.cancelled }
 
-func (j *job) clean() bool { return !j.inFlight && !j.reread && j.changed == j.durable }
-
-// touch notes a change of the content.
-func (d *Dispatch) touch(j *job) {
-	if j.changed == j.durable {
-		j.dirtyAt = d.now()
+// touch notes a change of what a task's value says.
+func (d *Dispatch) touch(j *job, task int) {
+	j.valueOf(task).touch(d.now())
+	if j.dividing {
+		j.partOf(task).touch(d.now())
 	}
-	j.changed++
 	j.runningStale = true
 }
 
+// touchHead notes a change of what concerns the job as a whole.
+func (d *Dispatch) touchHead(j *job) {
+	j.storedValue.touch(d.now())
+}
+
 // place decides a placement; it counts from now and acts once it is durable.
 func (d *Dispatch) place(j *job, p ledger.Placement) {
 	j.Placed[p.Task] = p
 	d.index(j, p)
-	d.touch(j)
-	j.proposed[p.Task] = j.changed
-	j.fresh = append(j.fresh, p.Task)
+	d.touch(j, p.Task)
+	v := j.valueOf(p.Task)
+	j.proposed[p.Task] = v.changed
+	v.fresh = append(v.fresh, p.Task)
 }
 
 // unplace frees a place, which only proof allows: see docs/rules.md.
@@ -86,7 +97,7 @@
 	delete(j.stops, p.Task)
 	delete(j.proposed, p.Task)
 	d.unindex(j, p)
-	d.touch(j)
+	d.touch(j, p.Task)
 	if !j.Done.Has(p.Task) {
 		// It is to run again, under another try than any before.
 		j.NextTry = max(j.NextTry, p.Try+1)
@@ -123,12 +134,15 @@
 		pause *= clock.Micros(1) << min(j.failures-3, 6)
 	}
 	j.notBefore = max(j.notBefore, d.now()+min(pause, 60*clock.Second))
-	if len(j.avoid) > 8 {
+	if len(j.avoid) > maxAvoided {
 		// It failed wherever it went: the machines aren't at fault.
 		clear(j.avoid)
 	}
 }
 
+// maxAvoided is how many machines a job fails on before they are taken to be good.
+const maxAvoided = 8
+
 // returnRoom lets those who made room for a job have it back first.
 func (d *Dispatch) returnRoom(j *job) {
 	for _, id := range j.Lenders {
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -44,6 +44,7 @@
 	// answersLost machines report, but lose one session after the other though they
 	// are answered: answers don't reach them.
 	answersLost  bool
+	probedAt     clock.Micros // when it was last asked whether it is still there
 	challengedAt clock.Micros // when it was last asked whether it has started over
 
 	listed    bool
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -74,6 +74,10 @@
 		left := (m.recallAt - d.now()).Seconds()
 		for id, tasks := range inOrder(m.placed) {
 			j := d.jobs[id]
+			if j != nil && j.Spec.Service() {
+				d.moveReplicas(j, tasks)
+				continue
+			}
 			if j == nil || j.Spec.CheckpointS == 0 || left > j.Spec.SaveS+saveMargin {
 				continue
 			}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -149,7 +149,7 @@
 			continue
 		}
 		m.ended++
-		if heartbeat && (j == nil || j.clean()) && !d.mayArrive(m, ref) && !d.mayRepeat(m, ref, t) {
+		if heartbeat && (j == nil || j.recorded(ref.task)) && !d.mayArrive(m, ref) && !d.mayRepeat(m, ref, t) {
 			// The outcome is durable and no start can bring the try back.
 			forgets = append(forgets, protocol.Order{Verb: protocol.VerbForget, Task: name, Try: ref.try})
 		}
--- a/internal/dispatch/orders_test.go
+++ b/internal/dispatch/orders_test.go
@@ -156,7 +156,7 @@
 		d.tick()
 		d.term.Epoch = 7
 		j.fresh = []int{0}
-		d.committed([]write{{j, j.changed}}, statestore.Reply[protocol.TxnAnswer]{Status: 200, Value: protocol.TxnAnswer{Revision: 9}})
+		d.committed([]write{{j: j, v: &j.storedValue, part: head, changed: j.changed}}, statestore.Reply[protocol.TxnAnswer]{Status: 200, Value: protocol.TxnAnswer{Revision: 9}})
 		if direct := out.n > 0; direct != (late == 0) {
 			t.Errorf("late by %v: %d direct commands", late, out.n)
 		}
--- a/internal/dispatch/overview.go
+++ b/internal/dispatch/overview.go
@@ -15,6 +15,12 @@
 	Classes  []ClassOverview `json:"classes,omitempty"`
 	Machines []KindOverview  `json:"machines,omitempty"`
 	Failing  []FailingJob    `json:"failing,omitempty"`
+	// PresentFormats tells that all controllers read services and divided records, Missing
+	// which don't as far as is known.
+	PresentFormats bool     `json:"present_formats"`
+	Missing        []string `json:"missing,omitempty"`
+	// TightLimits tells that the state service refuses what its first limits allow.
+	TightLimits bool `json:"tight_limits,omitempty"`
 }
 
 // ClassOverview counts the open jobs of a class.
@@ -23,6 +29,9 @@
 	Jobs    int    `json:"jobs"`
 	Pending int    `json:"pending_tasks"`
 	Placed  int    `json:"placed_tasks"`
+	// Restarting are replicas of services that ended soon after their starts and wait for
+	// the next.
+	Restarting int `json:"restarting,omitempty"`
 }
 
 // KindOverview counts the machines of one type, zone and price.
@@ -50,12 +59,14 @@
 func (d *Dispatch) Overview(reply func(any)) { d.mailbox.Post(func() { reply(d.overview()) }) }
 
 func (d *Dispatch) overview() Overview {
-	o := Overview{Node: d.set.Node, Leader: d.leader, Leads: d.leads(), Epoch: d.term.Epoch, Plans: d.plans}
+	o := Overview{Node: d.set.Node, Leader: d.leader, Leads: d.leads(), Epoch: d.term.Epoch, Plans: d.plans,
+		PresentFormats: d.format.Open, Missing: d.format.Missing, TightLimits: d.tightened}
 	classes := map[string]ClassOverview{}
 	for _, j := range inOrder(d.jobs) {
 		c := classes[j.Spec.Class]
 		c.Class = j.Spec.Class
 		c.Placed += len(j.Placed)
+		c.Restarting += j.waitingRestarts(d.now())
 		if !j.Final() {
 			c.Jobs++
 			c.Pending += j.PendingCount()
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -198,7 +198,7 @@
 	if debugging() {
 		slog.Debug("task exited", "job", id, "task", p.Task, "try", p.Try, "machine", m.name, "cause", t.Cause, "ran_s", ran.Seconds())
 	}
-	if t.Cause == protocol.CauseDone && !j.Final() {
+	if t.Cause == protocol.CauseDone && !j.Final() && !j.Spec.Service() {
 		if j.Spec.Gang() {
 			// They complete together: if one is done, all are.
 			for task := range j.Spec.Tasks {
@@ -212,6 +212,9 @@
 	if j.over() {
 		return
 	}
+	if j.Spec.Service() && d.replicaEnded(m, j, p, t.Cause, ran) {
+		return
+	}
 	switch t.Cause {
 	case protocol.CauseDone, protocol.CauseStopped, protocol.CausePeers, protocol.CauseAlone:
 		j.brokenTry = max(j.brokenTry, p.Try)
@@ -220,10 +223,7 @@
 	case protocol.CauseDone:
 		j.failures, j.Cause = 0, ""
 		d.notePace(m, &j.Spec, ran)
-		if j.Done.Len() == j.Spec.Tasks {
-			j.Status = protocol.StatusDone
-			d.returnRoom(j)
-		}
+		d.finish(j)
 	case protocol.CauseStopped, protocol.CausePeers:
 	case protocol.CauseAlone:
 		d.startFailed(m, j, p, t.Cause, 0)
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -23,6 +23,7 @@
 // load reads all records, page by page. The first page's revision is where
 // following starts, so that nothing falls between.
 func (d *Dispatch) load(epoch int64, from string, revision int64, began clock.Micros) {
+	d.loading = true
 	d.store.List(ledger.Prefix, from, func(r statestore.Reply[protocol.ItemList]) {
 		if d.term.Epoch != epoch {
 			return
@@ -41,18 +42,75 @@
 			d.load(epoch, r.Value.Items[len(r.Value.Items)-1].Key, revision, began)
 			return
 		}
-		first := !d.loaded
-		d.loaded = true
-		d.freshAt = began
-		if first {
-			d.answerDeferred()
-			slog.Info("records read", "epoch", epoch, "open_jobs", len(d.jobs), "took_ms", (d.now()-began)/clock.Millisecond)
+		d.loadParts(epoch, "", func() { d.recordsRead(epoch, revision, began) })
+	})
+}
+
+// loadParts reads the parts of divided records, after their heads: only the leader writes
+// parts, so that none is missed.
+func (d *Dispatch) loadParts(epoch int64, from string, done func()) {
+	d.store.List(ledger.PartsPrefix, from, func(r statestore.Reply[protocol.ItemList]) {
+		if d.term.Epoch != epoch {
+			return
 		}
-		d.wake()
-		d.follow(epoch, revision)
+		if r.Status != http.StatusOK {
+			d.inTerm(retryDelay, func() { d.loadParts(epoch, from, done) })
+			return
+		}
+		for _, item := range r.Value.Items {
+			d.adoptPart(item)
+		}
+		if r.Value.More && len(r.Value.Items) > 0 {
+			d.loadParts(epoch, r.Value.Items[len(r.Value.Items)-1].Key, done)
+			return
+		}
+		done()
 	})
 }
 
+// adoptPart takes a part as read, if its job waits for it. One that belongs to no divided
+// record is left over from a leader that ended while it divided one.
+func (d *Dispatch) adoptPart(item protocol.Item) {
+	id, part, ok := ledger.ParsePartKey(item.Key)
+	j := d.jobs[id]
+	switch {
+	case !ok || d.unreadable[id]:
+	case j == nil || j.PartSize == 0 || part >= len(j.parts):
+		d.orphans[item.Key] = item.Version
+	case j.partsUnread:
+		if err := j.ApplyPart(part, item.Value); err != nil {
+			d.leaveAlone(id, err)
+			return
+		}
+		j.parts[part].replaced(item.Version)
+	}
+}
+
+// leaveAlone forgets a job whose record makes no sense: never guess at what may be running.
+func (d *Dispatch) leaveAlone(id string, err error) {
+	slog.Error("malformed record", "job", id, "error", err)
+	d.unreadable[id] = true
+	delete(d.jobs, id)
+}
+
+// recordsRead begins to act on the records and to follow their changes.
+func (d *Dispatch) recordsRead(epoch, revision int64, began clock.Micros) {
+	for _, j := range inOrder(d.jobs) {
+		if j.partsUnread {
+			d.partsRead(j)
+		}
+	}
+	first := !d.loaded
+	d.loaded, d.loading = true, false
+	d.freshAt = began
+	if first {
+		d.answerDeferred()
+		slog.Info("records read", "epoch", epoch, "open_jobs", len(d.jobs), "took_ms", (d.now()-began)/clock.Millisecond)
+	}
+	d.wake()
+	d.follow(epoch, revision)
+}
+
 // follow keeps up with what other nodes accept and cancel. It comes back at
 // least every followTime, which shows how fresh the records are.
 func (d *Dispatch) follow(epoch, from int64) {
@@ -94,48 +152,90 @@
 		return
 	}
 	content, err := ledger.Decode(raw)
-	if j != nil && j.inFlight {
-		// What this is becomes clear when our own change is answered; that it is
-		// cancelled is final.
+	if j != nil && (j.inFlight || j.reading) {
+		// What this is becomes clear when our own change is answered, or the record's
+		// parts are; that it is cancelled is final.
 		j.followedEvent = &protocol.Event{Put: key, Value: raw, Version: version}
 		if err == nil && content.Status == protocol.StatusCancelled {
 			d.noteCancelled(j, d.confirmedAt(content))
 		}
 		return
 	}
-	if err != nil {
+	switch {
+	case err != nil:
 		// Never guess at what may be running: leave it alone and say so.
 		slog.Error("malformed record", "job", id, "error", err)
 		d.unreadable[id] = true
+	case j == nil:
+		d.adoptNew(id, content, version)
+	case content.PartSize > 0:
+		d.adoptDivided(j, content, version)
+	default:
+		d.adoptWhole(j, content, version)
+	}
+}
+
+// adoptNew takes the record of a job that isn't known.
+func (d *Dispatch) adoptNew(id string, content *ledger.Job, version int64) {
+	// Of a divided record only the parts tell whether anything may still run.
+	unread := content.PartSize > 0 && d.loading
+	if content.Final() && len(content.Placed) == 0 && !unread {
 		return
 	}
-	if j == nil {
-		if content.Final() && len(content.Placed) == 0 {
-			return
-		}
-		d.noteClass(&content.Spec)
-		j = &job{avoid: map[string]bool{}, stops: map[int]stop{}, proposed: map[int]int{}, runningStale: true}
-		d.jobs[id] = j
-	} else {
-		d.unplaceAll(j)
+	d.noteClass(&content.Spec)
+	j := newJob()
+	j.partsUnread = unread
+	d.jobs[id] = j
+	d.replaceContent(j, content, version)
+	d.retire(j)
+}
+
+// adoptWhole takes a newer undivided record of a known job.
+func (d *Dispatch) adoptWhole(j *job, content *ledger.Job, version int64) {
+	if content.Truncated {
+		// What is known of the tasks is all there is.
+		content.Placed, content.NextTry = maps.Clone(j.Placed), j.NextTry
 	}
+	d.unplaceAll(j)
+	d.dropParts(j)
 	d.replaceContent(j, content, version)
 	d.retire(j)
 }
 
+// adoptDivided takes a newer head. Users' nodes only cancel: anything else is a change of
+// this leader's own that had no answer, and the parts have to be read as well.
+func (d *Dispatch) adoptDivided(j *job, content *ledger.Job, version int64) {
+	if content.Status == protocol.StatusCancelled && !j.reread && !j.dividing && content.PartSize == j.PartSize {
+		d.cancelDivided(j, content.Status, content.CancelledAt, version)
+		return
+	}
+	j.reread = true
+	if content.Status == protocol.StatusCancelled {
+		d.noteCancelled(j, d.confirmedAt(content))
+	}
+}
+
 // replaceContent makes a record's content what is known of its job.
 func (d *Dispatch) replaceContent(j *job, content *ledger.Job, version int64) {
-	j.Job, j.version, j.reread = content, version, false
-	j.changed++
-	j.durable = j.changed
+	j.Job, j.reread = content, false
+	j.storedValue.replaced(version)
 	j.runningStale = true
 	clear(j.proposed)
-	j.fresh = nil
+	if content.PartSize > 0 && len(j.parts) != j.Parts() {
+		j.makeParts()
+	}
 	if content.Status == protocol.StatusCancelled {
 		d.noteCancelled(j, d.confirmedAt(content))
 	}
+	if !j.partsUnread {
+		d.placeContent(j)
+	}
+}
+
+// placeContent notes at its machines what a record says of its tasks.
+func (d *Dispatch) placeContent(j *job) {
 	on := map[string]*machine{}
-	for _, p := range inOrder(content.Placed) {
+	for _, p := range inOrder(j.Placed) {
 		if d.wasReleased(p.Machine) {
 			// Released meanwhile, with all on it: the record is behind.
 			d.unplace(j, p)
@@ -154,6 +254,109 @@
 	}
 }
 
+// readAgain replaces what is in memory by the record. Nothing was done about
+// what is lost by this: only durable placements are acted on.
+func (d *Dispatch) readAgain(j *job) {
+	if j.reading {
+		return
+	}
+	j.reading = true
+	epoch := d.term.Epoch
+	key := ledger.Key(j.Spec.ID)
+	d.store.Get(key, func(r statestore.Reply[protocol.Item]) {
+		if d.term.Epoch != epoch {
+			return
+		}
+		content, err := ledger.Decode(r.Value.Value)
+		if r.Status == http.StatusOK && err == nil && content.PartSize > 0 {
+			d.readParts(j, reading{content: content, version: r.Value.Version}, "")
+			return
+		}
+		d.readingEnded(j)
+		if d.jobs[j.Spec.ID] != j {
+			return // over meanwhile
+		}
+		if r.Status == http.StatusOK {
+			d.adopt(key, r.Value.Value, r.Value.Version)
+		} else {
+			d.pauseUntil = d.now() + retryDelay
+		}
+		d.wake()
+	})
+}
+
+// reading is a divided record that is being read.
+type reading struct {
+	content *ledger.Job
+	version int64
+	parts   []protocol.Item
+}
+
+// readParts reads the parts of one record, page by page, and replaces what is in memory.
+func (d *Dispatch) readParts(j *job, r reading, from string) {
+	epoch := d.term.Epoch
+	id := j.Spec.ID
+	d.store.List(ledger.PartsOf(id), from, func(page statestore.Reply[protocol.ItemList]) {
+		if d.term.Epoch != epoch {
+			return
+		}
+		if page.Status != http.StatusOK {
+			j.reading = false // and all of it again, after a pause
+			d.pauseUntil = d.now() + retryDelay
+			d.wake()
+			return
+		}
+		r.parts = append(r.parts, page.Value.Items...)
+		if page.Value.More && len(page.Value.Items) > 0 {
+			d.readParts(j, r, page.Value.Items[len(page.Value.Items)-1].Key)
+			return
+		}
+		if d.jobs[id] == j {
+			d.replaceDivided(j, r)
+		}
+		d.readingEnded(j)
+		d.wake()
+	})
+}
+
+// replaceDivided makes a divided record, as read, what is known of its job.
+func (d *Dispatch) replaceDivided(j *job, r reading) {
+	if r.version < j.version {
+		return // an answer from before the last change; it is read again
+	}
+	id := j.Spec.ID
+	versions := map[int]int64{}
+	for _, item := range r.parts {
+		_, part, ok := ledger.ParsePartKey(item.Key)
+		if !ok {
+			continue
+		}
+		if err := r.content.ApplyPart(part, item.Value); err != nil {
+			d.unplaceAll(j)
+			d.leaveAlone(id, err)
+			return
+		}
+		versions[part] = item.Version
+	}
+	d.unplaceAll(j)
+	j.dividing, j.parts = false, nil
+	d.replaceContent(j, r.content, r.version)
+	for part, version := range versions {
+		j.parts[part].replaced(version)
+	}
+	d.finish(j)
+	d.retire(j)
+}
+
+// readingEnded takes what was followed while a record was read.
+func (d *Dispatch) readingEnded(j *job) {
+	j.reading = false
+	if e := j.followedEvent; e != nil && !j.inFlight && d.jobs[j.Spec.ID] == j {
+		j.followedEvent = nil
+		d.adopt(e.Put, e.Value, e.Version)
+	}
+}
+
 // noteClass keeps what is needed to expect more jobs of a class.
 func (d *Dispatch) noteClass(s *protocol.JobSpec) {
 	u := d.classSeen[s.Class]
--- a/internal/dispatch/records_test.go
+++ b/internal/dispatch/records_test.go
@@ -30,7 +30,7 @@
 	old := j.Encode()
 	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskExited, Cause: protocol.CauseDone}))
 	j.inFlight = true
-	d.committed([]write{{j, j.changed}}, statestore.Reply[protocol.TxnAnswer]{Status: 200, Value: protocol.TxnAnswer{Revision: 6}})
+	d.committed([]write{{j: j, v: &j.storedValue, part: head, changed: j.changed}}, statestore.Reply[protocol.TxnAnswer]{Status: 200, Value: protocol.TxnAnswer{Revision: 6}})
 	if len(d.jobs) != 0 {
 		t.Fatal("the job isn't over")
 	}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"math"
-	"slices"
 	"strings"
 
 	"postpoint/internal/clock"
@@ -21,6 +20,7 @@
 	if len(d.catalogue) == 0 {
 		return
 	}
+	d.divideLarge()
 	snapshot, plan := d.makePlan()
 	d.carryOutPlaces(plan.Places)
 	d.carryOutStops(plan.Stops)
@@ -75,9 +75,8 @@
 		j, winner := d.jobs[s.Job], d.jobs[s.For]
 		slog.Info("making room", "from", s.Job, "task", s.Task, "for", s.For)
 		d.stop(j, s.Task, "room", s.For)
-		if !slices.Contains(winner.Lenders, s.Job) {
-			winner.Lenders = append(winner.Lenders, s.Job)
-			d.touch(winner)
+		if winner.Lend(s.Job) {
+			d.touchHead(winner)
 		}
 	}
 }
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -40,7 +40,7 @@
 			team.BacklogS += j.Spec.EstimateS * left.Share(team.Limit)
 		}
 		s.Teams[j.Spec.Team] = team
-		if j.over() || j.reread {
+		if j.over() || j.reread || j.partsUnread {
 			continue
 		}
 		s.Jobs = append(s.Jobs, d.plannedJob(j, now, evictions))
@@ -100,19 +100,23 @@
 
 // plannedJob is a job as the planner is shown it.
 func (d *Dispatch) plannedJob(j *job, now clock.Micros, evictions bool) planner.Job {
-	limit := int(d.set.Deployment.State.ValueKb * 1024)
+	limit, _ := d.recordLimits()
 	pj := planner.Job{ID: j.Spec.ID, Spec: &j.Spec, Rank: protocol.RankOf(j.Spec.Rank), SubmittedAt: j.SubmittedAt,
 		Returning: j.returning, Waiting: now < j.notBefore, MayEvict: j.failures < 3, Avoid: j.avoid}
 	pj.Tier, pj.SlackS = d.aims(j)
-	pj.StartAim = d.startAim(j.Spec.Class) > 0
+	pj.StartAim = j.Spec.Service() || d.startAim(j.Spec.Class) > 0
 	pj.StartS = d.startLeft(j)
 	pj.Unmet = j.wantedAt != 0 && now > j.wantedFrom+unmetTime && now <= j.wantedAt+wantedGap
-	if missing := j.PendingCount() > 0; missing && (!j.Spec.Gang() || len(j.Placed) == 0 || d.completable(j)) {
-		pj.Limit = j.Room(limit)
-		pj.Pending = j.Pending(min(planTasks, pj.Limit))
-		if j.Spec.Gang() {
+	if missing := j.PendingCount() > 0; missing && !j.dividing && (!j.Spec.Gang() || len(j.Placed) == 0 || d.completable(j)) {
+		pj.Pending = j.Startable(limit, planTasks)
+		pj.Limit = len(pj.Pending)
+		switch {
+		case j.Spec.Gang():
 			pj.Pending = j.Pending(j.Spec.Tasks)
+			pj.Limit = len(j.Startable(limit, j.Spec.Tasks))
 			pj.Avoid = d.leftOn(j)
+		case j.Spec.Service():
+			pj.Pending = j.restartable(pj.Pending, now)
 		}
 	}
 	if len(pj.Pending) == 0 {
@@ -240,6 +244,9 @@
 		return
 	}
 	for _, j := range youngestFirst(s) {
+		if j.Spec.Service() {
+			continue // stopping it costs its users more than a guarantee that comes later
+		}
 		g := s.Teams[j.Spec.Team].Guarantee
 		for i := range j.Running {
 			left := excess[j.Spec.Team]
@@ -300,6 +307,7 @@
 	for id, tasks := range inOrder(m.placed) {
 		j := d.jobs[id]
 		m.view.Free = m.view.Free.Minus(planner.Needs(&j.Spec).Times(float64(len(tasks))))
+		m.view.Pinned = m.view.Pinned || j.Spec.Service()
 		if m.view.Pull(&j.Spec); !slices.Contains(before, j.Spec.Image) && slices.Contains(m.view.Pulling, j.Spec.Image) {
 			m.pullGB += j.Spec.ImageGB
 			before = append(before, j.Spec.Image)
--- /dev/null
+++ b/internal/dispatch/stored.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"postpoint/internal/clock"
+)
+
+// storedValue relates what is known in memory to one value of the state service: a
+// record, or the head or a part of a divided one.
+type storedValue struct {
+	version  int64 // of the key when it was last known, 0 if it doesn't exist
+	changed  int   // counts changes of the content
+	durable  int   // the count that is stored
+	inFlight bool
+	// dirtyAt is since when the content differs from what is stored.
+	dirtyAt clock.Micros
+	// fresh are the tasks whose placements aren't stored yet.
+	fresh []int
+	// refusedBytes is the size at which the state service refused the value, 0 if it didn't.
+	refusedBytes int
+}
+
+// touch notes a change of the content.
+func (v *storedValue) touch(now clock.Micros) {
+	if v.changed == v.durable {
+		v.dirtyAt = now
+	}
+	v.changed++
+}
+
+// isStored tells that what is in memory is stored.
+func (v *storedValue) isStored() bool { return !v.inFlight && v.changed == v.durable }
+
+// replaced takes over what was read.
+func (v *storedValue) replaced(version int64) {
+	v.version = version
+	v.changed++
+	v.durable = v.changed
+	v.fresh = nil
+}
+
+// valueOf is where a task's state is stored. While a record is being divided that is
+// still its undivided form.
+func (j *job) valueOf(task int) *storedValue {
+	if j.PartSize == 0 || j.dividing {
+		return &j.storedValue
+	}
+	return j.partOf(task)
+}
+
+func (j *job) partOf(task int) *storedValue { return j.parts[j.PartOf(task)] }
+
+// makeParts prepares the bookkeeping of a divided record, of which no part exists yet.
+func (j *job) makeParts() {
+	j.parts = make([]*storedValue, j.Parts())
+	for i := range j.parts {
+		j.parts[i] = &storedValue{}
+	}
+}
+
+// clean tells that all of the job is stored as it is in memory. Of the parts of a job
+// that is over nothing stays.
+func (j *job) clean() bool {
+	if j.reread || j.partsUnread || !j.isStored() {
+		return false
+	}
+	for _, v := range j.parts {
+		if v.inFlight || j.Final() && v.version != 0 || !j.Final() && !v.isStored() {
+			return false
+		}
+	}
+	return true
+}
+
+// recorded tells that what became of a task is stored.
+func (j *job) recorded(task int) bool {
+	switch {
+	case j.reread || j.partsUnread:
+		return false
+	case j.Final() || task >= j.Spec.Tasks:
+		return j.isStored() // the parts of a job that is over are only removed
+	}
+	return j.valueOf(task).isStored()
+}
--- a/internal/intake/admission.go
+++ b/internal/intake/admission.go
@@ -17,17 +17,19 @@
 		return "a task fits no allowed machine type"
 	}
 	n := 1
-	if spec.Gang() {
-		n = spec.Tasks
+	if spec.Gang() || spec.Service() {
+		n = spec.Tasks // all at once
 	}
 	k := float64(n)
 	if team.CpusMax > 0 && k*spec.Cpus > team.CpusMax || team.GpusMax > 0 && k*spec.Gpus > team.GpusMax {
 		return "needs more than the team's limit"
 	}
-	if spec.Gang() && spec.Spread && spec.Tasks > 1 && (spec.OneZone || spec.Zone != "") {
+	if (spec.Gang() || spec.Service()) && spec.Spread && spec.Tasks > 1 && (spec.OneZone || spec.Zone != "") {
 		return "its tasks can't be both spread and in one zone"
 	}
-	if ledger.New(*spec, 0).Room(int(dep.State.ValueKb*1024)) < n {
+	// The state service may tighten its limits at any time.
+	limits := dep.State.Tightest()
+	if !ledger.Recordable(spec, limits.ValueBytes(), limits.TxnOps) {
 		return "too large to be recorded while it runs"
 	}
 	return ""
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -11,6 +11,7 @@
 	"postpoint/internal/clock"
 	"postpoint/internal/ledger"
 	"postpoint/internal/protocol"
+	"postpoint/internal/rollout"
 	"postpoint/internal/settings"
 	"postpoint/internal/statestore"
 )
@@ -53,6 +54,8 @@
 	set     *settings.Settings
 	forward Forward
 	types   []protocol.MachineType
+	// formatOpen tells that all controllers know services and divided records.
+	formatOpen bool
 	// memoryFull tells that new jobs have to wait.
 	memoryFull func() bool
 	// finals are final states that may be told from memory: they never change.
@@ -96,6 +99,9 @@
 	in.mailbox.Post(func() { in.types = types })
 }
 
+// Format is told how far the controllers' upgrade is.
+func (in *Intake) Format(s rollout.Status) { in.mailbox.Post(func() { in.formatOpen = s.Open }) }
+
 // Ready asks whether this node can take requests: it knows the machine types or
 // has waited long enough for them, and somebody answers it. A node without the
 // state service still serves through its peers, and in an outage all nodes are
@@ -194,7 +200,7 @@
 		c.answer(http.StatusOK, f)
 		return
 	}
-	if c.r.Forwarded || c.sent || c.in.mailbox.Steady() < c.in.aloneUntil {
+	if c.r.Forwarded || c.sent || c.in.mailbox.Steady() < c.in.aloneUntil || c.unknownToPeers() {
 		c.later("the state service does not answer")
 		return
 	}
@@ -209,6 +215,16 @@
 	})
 }
 
+// unknownToPeers tells that another node may be of a version that would take the request
+// for something else: a service for an array.
+func (c *call) unknownToPeers() bool {
+	if c.r.Kind != Submit || c.in.formatOpen {
+		return false
+	}
+	spec, err := protocol.DecodeSubmission(c.r.Body)
+	return err == nil && spec.Service()
+}
+
 // unserved handles any answer of the state service that isn't one.
 func (c *call) unserved(status int) {
 	if status != http.StatusTooManyRequests {
@@ -299,7 +315,34 @@
 }
 
 func (c *call) show() {
-	c.known(func(j *ledger.Job, _ int64) { c.answer(http.StatusOK, j.UserStatus()) })
+	c.known(func(j *ledger.Job, _ int64) {
+		if j.PartSize > 0 && !j.Final() {
+			c.countParts(j, "")
+			return
+		}
+		c.answer(http.StatusOK, j.UserStatus())
+	})
+}
+
+// countParts reads the parts of a divided record, page by page, for what users are shown of
+// its tasks. Without them the answer says what the head does.
+func (c *call) countParts(j *ledger.Job, from string) {
+	c.in.store.List(ledger.PartsOf(j.Spec.ID), from, func(r statestore.Reply[protocol.ItemList]) {
+		for _, item := range r.Value.Items {
+			_, part, ok := ledger.ParsePartKey(item.Key)
+			if !ok {
+				continue
+			}
+			if err := j.ApplyPart(part, item.Value); err != nil {
+				slog.Error("malformed part", "key", item.Key, "error", err)
+			}
+		}
+		if n := len(r.Value.Items); r.Status == http.StatusOK && r.Value.More && n > 0 {
+			c.countParts(j, r.Value.Items[n-1].Key)
+			return
+		}
+		c.answer(http.StatusOK, j.UserStatus())
+	})
 }
 
 func (c *call) submit() {
@@ -315,8 +358,11 @@
 	case c.in.memoryFull():
 		status, why = http.StatusServiceUnavailable, "the controller's memory is full"
 	default:
-		if why = neverRuns(&spec, &c.in.set.Deployment, c.in.types); why != "" {
+		why = neverRuns(&spec, &c.in.set.Deployment, c.in.types)
+		if why != "" {
 			status = http.StatusUnprocessableEntity
+		} else if spec.Service() && !c.in.formatOpen {
+			status, why = http.StatusServiceUnavailable, "not all controllers know services yet"
 		}
 	}
 	if status == 0 {
@@ -344,9 +390,14 @@
 // create makes the record, unless there is one: no job is accepted twice.
 func (c *call) create() {
 	key := ledger.Key(c.spec.ID)
+	j := ledger.New(c.spec, int64(c.in.mailbox.OfDay()))
+	if c.in.formatOpen {
+		j.Marked = c.spec.Service()
+		j.PartSize = ledger.PartSizeFor(&c.spec, c.in.set.Deployment.State.Tightest().ValueBytes())
+	}
 	t := protocol.Txn{
 		Guards:  []protocol.Guard{{Key: key}},
-		Changes: []protocol.Change{{Put: key, Value: ledger.New(c.spec, int64(c.in.mailbox.OfDay())).Encode()}},
+		Changes: []protocol.Change{{Put: key, Value: j.Encode()}},
 	}
 	c.in.store.Commit(statestore.ForUser, t, func(r statestore.Reply[protocol.TxnAnswer]) {
 		switch {
@@ -378,26 +429,36 @@
 			return
 		}
 		j.Status, j.CancelledAt = protocol.StatusCancelled, int64(c.in.mailbox.OfDay())
-		key := ledger.Key(c.r.ID)
-		t := protocol.Txn{
-			Guards:  []protocol.Guard{{Key: key, Version: version}},
-			Changes: []protocol.Change{{Put: key, Value: j.Encode()}},
-		}
-		c.in.store.Commit(statestore.ForUser, t, func(r statestore.Reply[protocol.TxnAnswer]) {
-			switch {
-			case r.Status == http.StatusOK:
-				c.in.keep(j.UserStatus())
-				c.answer(http.StatusOK, j.UserStatus())
-			case r.Status == http.StatusConflict || r.Unknown():
-				// The leader changed the record meanwhile, or nobody knows.
-				if c.tries++; c.tries > maxTries {
-					c.later("the job is changing")
-					return
-				}
-				c.cancel()
-			default:
-				c.unserved(r.Status)
+		c.storeCancelled(j, version)
+	})
+}
+
+// storeCancelled writes a cancelled record over the version that was read.
+func (c *call) storeCancelled(j *ledger.Job, version int64) {
+	key := ledger.Key(c.r.ID)
+	t := protocol.Txn{
+		Guards:  []protocol.Guard{{Key: key, Version: version}},
+		Changes: []protocol.Change{{Put: key, Value: j.Encode()}},
+	}
+	c.in.store.Commit(statestore.ForUser, t, func(r statestore.Reply[protocol.TxnAnswer]) {
+		switch {
+		case r.Status == http.StatusOK:
+			c.in.keep(j.UserStatus())
+			c.answer(http.StatusOK, j.UserStatus())
+		case r.Status == http.StatusConflict || r.Unknown():
+			// The leader changed the record meanwhile, or nobody knows.
+			if c.tries++; c.tries > maxTries {
+				c.later("the job is changing")
+				return
 			}
-		})
+			c.cancel()
+		case r.Status == http.StatusBadRequest && !j.Truncated && j.PartSize == 0:
+			// The record was stored under wider limits than there are now. Its end fits
+			// without its placements, which the leader knows, and the machines tell.
+			j.Truncated = true
+			c.storeCancelled(j, version)
+		default:
+			c.unserved(r.Status)
+		}
 	})
 }
--- a/internal/ledger/ranges.go
+++ b/internal/ledger/ranges.go
@@ -72,6 +72,23 @@
 	return n
 }
 
+// NextIn is the smallest number from n on that is in the set, a very large one if none is.
+func (r *Ranges) NextIn(n int) int {
+	i := r.find(n)
+	if i == len(r.spans) {
+		return maxTask
+	}
+	return max(n, r.spans[i].lo)
+}
+
+// Max is the largest number in the set, -1 if it is empty.
+func (r *Ranges) Max() int {
+	if len(r.spans) == 0 {
+		return -1
+	}
+	return r.spans[len(r.spans)-1].hi
+}
+
 func (r *Ranges) String() string {
 	var b strings.Builder
 	for i, s := range r.spans {
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -39,6 +39,15 @@
 	Placed      map[int]Placement
 	Lenders     []string // jobs that made room for this one and are owed it
 	Cause       string   // why the last failed start failed
+	// PartSize is how many tasks each part of a divided record is for; 0: undivided.
+	PartSize int
+	// Marked records are refused as malformed by versions that know neither services nor
+	// divided records: they would take a service for an array, and a divided record's tasks
+	// for pending. Records are marked only once no such version runs any more.
+	Marked bool
+	// Truncated tells that the placements of a cancelled job were left out, because the
+	// record had become too large for the state service.
+	Truncated bool
 }
 
 // record is the stored form. Its texts keep the value small: the service
@@ -53,8 +62,15 @@
 	Placed      []string         `msgpack:"placed,omitempty"`
 	Lenders     []string         `msgpack:"lenders,omitempty"`
 	Cause       string           `msgpack:"cause,omitempty"`
+	Truncated   bool             `msgpack:"truncated,omitempty"`
 }
 
+// Markers stand among the placements, where earlier versions refuse them.
+const (
+	markService = "service"
+	markParts   = "parts" // followed by the size of a part
+)
+
 // New is the record of a job just accepted.
 func New(spec protocol.JobSpec, at int64) *Job {
 	return &Job{Spec: spec, SubmittedAt: at, NextTry: 1, Placed: map[int]Placement{}}
@@ -68,10 +84,46 @@
 	shift, try int64
 }
 
-// Encode gives the value to store.
+// Encode gives the value to store at the job's key: the whole record, or the head of a
+// divided one.
 func (j *Job) Encode() []byte {
-	return protocol.Encode(record{Spec: j.Spec, Status: j.Status, SubmittedAt: j.SubmittedAt, CancelledAt: j.CancelledAt,
-		Done: j.Done.String(), NextTry: j.NextTry, Lenders: j.Lenders, Cause: j.Cause, Placed: j.places()})
+	r := record{Spec: j.Spec, Status: j.Status, SubmittedAt: j.SubmittedAt, CancelledAt: j.CancelledAt,
+		NextTry: j.NextTry, Lenders: j.Lenders, Cause: j.Cause, Truncated: j.Truncated}
+	if j.Marked && j.Spec.Service() {
+		r.Placed = append(r.Placed, markService)
+	}
+	if j.Truncated {
+		return protocol.Encode(r)
+	}
+	if j.PartSize > 0 {
+		r.Placed = append(r.Placed, markParts+" "+strconv.Itoa(j.PartSize))
+		return protocol.Encode(r)
+	}
+	r.Done = j.Done.String()
+	r.Placed = append(r.Placed, j.places()...)
+	return protocol.Encode(r)
+}
+
+// mark takes a marker from the stored placements; ok tells that the text is one.
+func (j *Job) mark(text string) (ok bool) {
+	if text == markService {
+		j.Marked = true
+		return true
+	}
+	size, isParts := strings.CutPrefix(text, markParts+" ")
+	n, err := strconv.Atoi(size)
+	if !isParts || err != nil || n < 1 || n > maxPartTasks {
+		return false
+	}
+	j.PartSize, j.Marked = n, true
+	return true
+}
+
+// complete notes that a task is done. A service's tasks never are.
+func (j *Job) complete(task int) {
+	if !j.Spec.Service() {
+		j.Done.Add(task)
+	}
 }
 
 // places are the texts of the placements: one for all tasks with the same try on
@@ -105,8 +157,14 @@
 		return nil, err
 	}
 	j := &Job{Spec: r.Spec, Status: r.Status, SubmittedAt: r.SubmittedAt, CancelledAt: r.CancelledAt,
-		Done: done, NextTry: r.NextTry, Placed: map[int]Placement{}, Lenders: r.Lenders, Cause: r.Cause}
+		NextTry: r.NextTry, Placed: map[int]Placement{}, Lenders: r.Lenders[:min(len(r.Lenders), maxLenders)], Cause: r.Cause, Truncated: r.Truncated}
+	if !j.Spec.Service() {
+		j.Done = done // versions that take services for arrays note ends of their tasks
+	}
 	for _, text := range r.Placed {
+		if j.mark(text) {
+			continue
+		}
 		p, set, err := parsePlacement(text)
 		if err != nil {
 			return nil, fmt.Errorf("malformed placement %q", text)
@@ -144,18 +202,37 @@
 // among the done ones or among those that run on, and every new one is alone on
 // its machine.
 func (j *Job) Room(limit int) int {
-	const spec, group, machine = 700, 20, 15
+	const group, machine = 20, 15
+	number := len(strconv.Itoa(j.Spec.Tasks)) + 1 // with its comma
+	used := j.headBytes() + len(j.Done.spans)*2*number + len(j.Placed)*number + j.groups()*(group+machine)
+	return max(0, (limit*fillPercent/100-used)/(number+group+machine))
+}
+
+// headBytes is what a record takes at most without what belongs to single tasks.
+func (j *Job) headBytes() int {
+	const fields = 700 // names, numbers and punctuation
 	s := &j.Spec
-	number := len(strconv.Itoa(s.Tasks)) + 1 // with its comma
-	used := spec + len(s.ID) + len(s.Class) + len(s.Team) + len(s.Image) + len(s.Zone) + len(j.Cause) +
-		len(j.Done.spans)*2*number + len(j.Placed)*number + j.groups()*(group+machine)
+	used := fields + len(s.ID) + len(s.Class) + len(s.Team) + len(s.Image) + len(s.Zone) + len(j.Cause)
 	for _, t := range s.Types {
 		used += len(t) + 3
 	}
 	for _, l := range j.Lenders {
 		used += len(l) + 3
 	}
-	return max(0, (limit*9/10-used)/(number+group+machine))
+	return used
+}
+
+// maxLenders bounds what a record grows by while its job makes room again and again.
+const maxLenders = 8
+
+// Lend notes that a job made room for this one; it tells whether that is news. The first
+// few lenders are kept.
+func (j *Job) Lend(lender string) bool {
+	if slices.Contains(j.Lenders, lender) || len(j.Lenders) >= maxLenders {
+		return false
+	}
+	j.Lenders = append(j.Lenders, lender)
+	return true
 }
 
 // groups is how many texts the placements take.
@@ -185,6 +262,9 @@
 // UserStatus is the job as users see it.
 func (j *Job) UserStatus() protocol.JobStatus {
 	s := protocol.JobStatus{ID: j.Spec.ID, Status: j.Status, Done: j.Done.Len(), Cause: j.Cause}
+	if j.Status == protocol.StatusDone && j.PartSize > 0 {
+		s.Done = j.Spec.Tasks // the parts are being removed
+	}
 	if j.Final() {
 		return s
 	}
--- a/internal/planner/evict.go
+++ b/internal/planner/evict.go
@@ -84,7 +84,7 @@
 	var arrays []*array
 	for i := range jobs {
 		v := &jobs[i]
-		if v.Spec.Gang() {
+		if v.Spec.Gang() || v.Spec.Service() {
 			continue
 		}
 		a := &array{job: v}
--- a/internal/planner/score.go
+++ b/internal/planner/score.go
@@ -122,6 +122,10 @@
 // bootRiskS is for machines that take longer to boot than they should, in seconds.
 const bootRiskS = 10
 
+// pinnedWeight is what a machine's price, an hour, counts in seconds if a service's replica
+// is the first to keep it.
+const pinnedWeight = 10
+
 // score weighs, in seconds, the wait for the image, running on a costlier
 // machine than needed, and how much of the machine would be left in pieces:
 // full machines leave others idle, and idle ones can be returned.
@@ -135,6 +139,10 @@
 	if m.Spot && j.Spec.CheckpointS == 0 {
 		s += spotRisk * j.Spec.EstimateS
 	}
+	if j.Spec.Service() && !m.Pinned {
+		// A replica keeps its whole machine from being returned.
+		s += pinnedWeight * m.Price
+	}
 	s += 10 * m.Price * needs.Share(m.Whole)
 	s += 5 * m.Free.Minus(needs).Share(m.Whole)
 	return s
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"strconv"
 	"strings"
 
@@ -36,9 +37,7 @@
 const (
 	ShapeArray = "batch"
 	ShapeGang  = "ensemble"
-	// ShapeService is not in the protocol's description but in its table of
-	// names, and the users' own check submits it: docs/questions.md. Its tasks
-	// are independent like an array's and run until the job is cancelled.
+	// ShapeService jobs have replicas that run until the job is cancelled.
 	ShapeService = "daemon"
 
 	StatusPending   = "pending"
@@ -87,6 +86,23 @@
 // Gang tells that all tasks of the job run together or none does.
 func (s *JobSpec) Gang() bool { return s.Shape == ShapeGang }
 
+// Service tells that the job's tasks are replicas that run until the job is cancelled.
+func (s *JobSpec) Service() bool { return s.Shape == ShapeService }
+
+// JSONSize is how many bytes a value in wire form takes as JSON, the form in which the
+// state service counts sizes.
+func JSONSize(raw []byte) int {
+	var value any
+	if err := msgpack.Unmarshal(raw, &value); err != nil {
+		return len(raw)
+	}
+	text, err := json.Marshal(value)
+	if err != nil {
+		return len(raw)
+	}
+	return len(text)
+}
+
 // JobStatus answers users. Cause is an extra field: why the last start failed.
 type JobStatus struct {
 	ID      string `msgpack:"Uid"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -71,6 +71,15 @@
 	Times float64 `json:"times" validate:"gte=0"`
 }
 
+// Nodes are the names of all controllers of the deployment, this one's first.
+func (s *Settings) Nodes() []string {
+	names := []string{s.Node}
+	for _, p := range s.Known {
+		names = append(names, p.Node)
+	}
+	return names
+}
+
 // Workers has the times by which machines and their tasks are run.
 type Workers struct {
 	ReportS   float64 `json:"report_s" validate:"gt=0"`
@@ -86,8 +95,43 @@
 	WriteRps float64 `json:"write_rps" validate:"gt=0"`
 	ValueKb  float64 `json:"value_kb" validate:"gte=2"`
 	TxnOps   int     `json:"txn_ops" validate:"gte=1"`
+	// Next are limits that the service may change to at any time, without notice.
+	Next *NextState `json:"next"`
 }
 
+// NextState has the announced limits; what it leaves out does not change.
+type NextState struct {
+	Rps      *float64 `json:"rps" validate:"omitnil,gt=0"`
+	WriteRps *float64 `json:"write_rps" validate:"omitnil,gt=0"`
+	ValueKb  *float64 `json:"value_kb" validate:"omitnil,gte=2"`
+	TxnOps   *int     `json:"txn_ops" validate:"omitnil,gte=1"`
+}
+
+// Tightest are the limits that hold whether or not the announced ones have come.
+func (s State) Tightest() State {
+	next := s.Next
+	s.Next = nil
+	if next == nil {
+		return s
+	}
+	s.Rps = lower(s.Rps, next.Rps)
+	s.WriteRps = lower(s.WriteRps, next.WriteRps)
+	s.ValueKb = lower(s.ValueKb, next.ValueKb)
+	s.TxnOps = lower(s.TxnOps, next.TxnOps)
+	return s
+}
+
+// lower is the smaller of a present and an announced limit.
+func lower[T int | float64](present T, announced *T) T {
+	if announced == nil {
+		return present
+	}
+	return min(present, *announced)
+}
+
+// ValueBytes is the largest value that may be stored, in bytes of its JSON form.
+func (s State) ValueBytes() int { return int(s.ValueKb * 1024) }
+
 // Cloud has the limits of the rental interface.
 type Cloud struct {
 	Rps      float64 `json:"rps" validate:"gt=0"`
--- a/internal/testkit/deployment.go
+++ b/internal/testkit/deployment.go
@@ -14,6 +14,7 @@
 	"postpoint/internal/leadership"
 	"postpoint/internal/planner"
 	"postpoint/internal/protocol"
+	"postpoint/internal/rollout"
 	"postpoint/internal/settings"
 )
 
@@ -161,8 +162,18 @@
 	})
 	n.Intake = users
 	n.reports, n.requests = n.Dispatch, users
+	names := []string{n.Name}
+	for _, o := range d.Nodes {
+		if o != n {
+			names = append(names, o.Name)
+		}
+	}
+	upgrade := rollout.New(p, state, n.Name, names, leader.Start, func(s rollout.Status) {
+		n.Dispatch.Format(s)
+		users.Format(s)
+	})
 	n.Dispatch.Start()
-	leader.Start()
+	upgrade.Start()
 }
 
 // everyone asks all nodes for their attestations, in the form that they have between
--- a/internal/testkit/meetings_test.go
+++ b/internal/testkit/meetings_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"testing"
 
 	"postpoint/internal/clock"
@@ -419,8 +421,10 @@
 	}
 	mustBeDone(t, w, j)
 	mustBeDone(t, w, done)
-	if n := len(d.State.keys); n != 4 { // the leader's, the catalogue's and two records
-		t.Fatalf("%d keys", n)
+	want := []string{"catalogue", "jobs/job-000001", "jobs/job-000003", "lead/controller",
+		"rollout/gate", "rollout/node/worker-0", "rollout/node/worker-1", "rollout/node/worker-2"}
+	if keys := slices.Sorted(maps.Keys(d.State.keys)); !slices.Equal(keys, want) {
+		t.Fatalf("keys %v", keys)
 	}
 }
 
--- a/internal/testkit/state.go
+++ b/internal/testkit/state.go
@@ -170,9 +170,25 @@
 	return j
 }
 
+// wholeRecord is a job's record with what its parts say.
+func (s *State) wholeRecord(job string) *ledger.Job {
+	j := s.record(job)
+	if j == nil {
+		return nil
+	}
+	for part := range j.Parts() {
+		if e, ok := s.keys[ledger.PartKey(job, part)]; ok {
+			if err := j.ApplyPart(part, e.value); err != nil {
+				s.w.Break("record", "part %d of %s: %v", part, job, err)
+			}
+		}
+	}
+	return j
+}
+
 // placed tells whether a job's record has a try on a machine.
 func (s *State) placed(k taskKey, try int64, machine string) bool {
-	j := s.record(k.job)
+	j := s.wholeRecord(k.job)
 	return j != nil && j.Placed[k.task].Try == try && j.Placed[k.task].Machine == machine
 }
 
