--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -194,7 +194,8 @@
 		}
 	}
 	if j.Final() {
-		return append(units, removals(j)...)
+		d.findParts(j)
+		return append(units, removals(j, rank)...)
 	}
 	_, txnOps := d.recordLimits()
 	parts := unit{rank: rank, urgency: urgentWhole} // of a gang, which starts whole
@@ -218,8 +219,28 @@
 	return units
 }
 
+// findParts looks for parts of a job that is over whose changes had no answer. Its head has
+// changed since, so that none of those changes can be carried out any more.
+func (d *Dispatch) findParts(j *job) {
+	uncertain := func(v *storedValue) bool { return v.uncertain }
+	if j.reading || !j.isStored() || !slices.ContainsFunc(j.parts, uncertain) {
+		return
+	}
+	j.reading = true
+	d.listParts(j, reading{}, "", func(r reading) {
+		for _, v := range j.parts {
+			v.version, v.uncertain = 0, false
+		}
+		for _, item := range r.parts {
+			if _, part, ok := ledger.ParsePartKey(item.Key); ok && part < len(j.parts) {
+				j.parts[part].version = item.Version
+			}
+		}
+	})
+}
+
 // removals are the parts of a job that is over which hold nothing that may still run.
-func removals(j *job) []unit {
+func removals(j *job, rank int) []unit {
 	if !j.isStored() {
 		return nil // until its end is stored they are needed
 	}
@@ -231,16 +252,13 @@
 	}
 	var units []unit
 	for i, v := range j.parts {
-		if v.version != 0 && !v.inFlight && !needed[i] {
-			units = append(units, unit{[]write{{j: j, v: v, part: i, changed: v.changed, guard: j.version, remove: true}}, removalRank, urgentRemoval, 0})
+		if v.version != 0 && !v.uncertain && !v.inFlight && !needed[i] {
+			units = append(units, unit{[]write{{j: j, v: v, part: i, changed: v.changed, guard: j.version, remove: true}}, rank, urgentRemoval, 0})
 		}
 	}
 	return units
 }
 
-// removalRank comes after all ranks.
-const removalRank = 1 << 10
-
 // headUrgency orders the changes of one rank: what a whole job waits for, then
 // starts, then ends of some tasks among many.
 func headUrgency(j *job) int {
@@ -351,6 +369,9 @@
 		// and if it was the first, the second is refused and the records are read.
 		slog.Info("a change has no answer, it goes again", "status", r.Status, "reason", r.Value.Error, "records", len(writes))
 		d.pauseUntil = d.now() + retryDelay
+		for _, w := range writes {
+			w.v.uncertain = true
+		}
 	default:
 		slog.Error("a change is refused, reading the records", "status", r.Status, "reason", r.Value.Error, "records", len(writes))
 		d.pauseUntil = d.now() + retryDelay
@@ -399,7 +420,7 @@
 func (d *Dispatch) noteDurable(writes []write, revision int64) {
 	touched := map[string]*machine{}
 	for _, w := range writes {
-		w.v.version, w.v.durable, w.v.refusedBytes = revision, w.changed, 0
+		w.v.version, w.v.durable, w.v.refusedBytes, w.v.uncertain = revision, w.changed, 0, false
 		if w.remove {
 			w.v.version = 0
 		}
--- /dev/null
+++ b/internal/dispatch/divide_test.go
@@ -0,0 +1,226 @@
+package dispatch
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+
+	"postpoint/internal/ledger"
+	"postpoint/internal/protocol"
+	"postpoint/internal/rollout"
+	"postpoint/internal/settings"
+	"postpoint/internal/statestore"
+)
+
+// tightLeader is one whose state service may come to take values of 2 KiB and four changes
+// at a time, and keeps its transactions until the test answers.
+func tightLeader(open bool) (*Dispatch, *commits) {
+	d, _ := leader()
+	valueKb, txnOps := 2.0, 4
+	d.set.Deployment.State = settings.State{Rps: 100, WriteRps: 40, ValueKb: 32, TxnOps: 12,
+		Next: &settings.NextState{ValueKb: &valueKb, TxnOps: &txnOps}}
+	d.format = rollout.Status{Open: open}
+	store := &commits{}
+	d.store = store
+	return d, store
+}
+
+// wideArray is the record of an array of 300 tasks, all of which run on machines of their own.
+func wideArray() *ledger.Job {
+	content := ledger.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeArray, Rank: "normal", Tasks: 300}, 1)
+	content.NextTry = 2
+	for task := range content.Spec.Tasks {
+		content.Placed[task] = ledger.Placement{Task: task, Try: 1, Machine: fmt.Sprintf("m-%06d", task), Shift: 1}
+	}
+	return content
+}
+
+func ok(revision int64) statestore.Reply[protocol.TxnAnswer] {
+	return statestore.Reply[protocol.TxnAnswer]{Status: http.StatusOK, Value: protocol.TxnAnswer{Revision: revision}}
+}
+
+// A record that is too large for the limits that may come is divided when it changes next:
+// its parts first, the head last, each guarded by the undivided record's version, and none
+// of them beyond the limits.
+func TestLargeRecordsAreDivided(t *testing.T) {
+	d, store := tightLeader(true)
+	d.adopt(ledger.Key("job-1"), wideArray().Encode(), 5)
+	j := d.jobs["job-1"]
+	d.unplace(j, j.Placed[0])
+	j.dirtyAt = 0 // long enough ago
+	d.commit()
+	if len(store.txns) != 0 || !j.dividing {
+		t.Fatalf("%d transactions, dividing %v", len(store.txns), j.dividing)
+	}
+	headWritten := false
+	for revision := int64(11); j.dividing; revision++ {
+		d.commit()
+		if !d.committing {
+			t.Fatal("nothing is written, yet the record is not divided")
+		}
+		mustFit(t, store.txns[len(store.txns)-1])
+		for _, c := range store.txns[len(store.txns)-1].Changes {
+			if headWritten {
+				t.Fatalf("%s is written after the head", c.Put)
+			}
+			headWritten = c.Put == ledger.Key("job-1")
+		}
+		store.answer(ok(revision))
+	}
+	if !headWritten || j.dividing || len(j.parts) < 3 {
+		t.Fatalf("head written %v, dividing %v, %d parts", headWritten, j.dividing, len(j.parts))
+	}
+	if len(j.Placed) != 299 || !j.committed(j.Placed[7]) {
+		t.Fatalf("%d placed, committed %v", len(j.Placed), j.committed(j.Placed[7]))
+	}
+}
+
+// mustFit checks a transaction against the tightest limits, and that it depends on the
+// record's version.
+func mustFit(t *testing.T, txn protocol.Txn) {
+	t.Helper()
+	if len(txn.Changes) > 4 || len(txn.Guards) > 16 {
+		t.Fatalf("%d changes, %d guards", len(txn.Changes), len(txn.Guards))
+	}
+	for _, c := range txn.Changes {
+		if size := protocol.JSONSize(c.Value); size > 2<<10 {
+			t.Fatalf("%s has %d bytes", c.Put, size)
+		}
+	}
+	if !slices.Contains(txn.Guards, protocol.Guard{Key: ledger.Key("job-1"), Version: 5}) {
+		t.Fatalf("guards %v", txn.Guards)
+	}
+}
+
+// Until every controller reads divided records none is written, whatever the limits: what
+// is too large waits, and other jobs' changes go out without it.
+func TestNothingIsDividedForTheVersionBefore(t *testing.T) {
+	d, store := tightLeader(false)
+	d.adopt(ledger.Key("job-1"), wideArray().Encode(), 5)
+	small := ledger.New(protocol.JobSpec{ID: "job-2", Shape: protocol.ShapeArray, Rank: "normal", Tasks: 1}, 1)
+	d.adopt(ledger.Key("job-2"), small.Encode(), 6)
+	j := d.jobs["job-1"]
+	d.unplace(j, j.Placed[0])
+	j.dirtyAt = 0
+	d.place(d.jobs["job-2"], ledger.Placement{Task: 0, Try: 1, Machine: "m-z", Shift: 1})
+	d.commit()
+	if len(store.txns) != 1 || len(store.txns[0].Changes) != 2 {
+		t.Fatalf("%d transactions", len(store.txns))
+	}
+	// The limits have come: the same changes are refused, and go again without the large one.
+	store.answer(statestore.Reply[protocol.TxnAnswer]{Status: http.StatusBadRequest})
+	d.pauseUntil = 0
+	d.commit()
+	last := store.txns[len(store.txns)-1]
+	if len(store.txns) != 2 || len(last.Changes) != 1 || last.Changes[0].Put != ledger.Key("job-2") {
+		t.Fatalf("%d transactions, the last with %d changes", len(store.txns), len(last.Changes))
+	}
+	store.answer(ok(9))
+	d.pauseUntil = 0
+	d.commit()
+	if len(store.txns) != 2 || j.reread || len(j.Placed) != 299 || j.PartSize != 0 {
+		t.Fatalf("%d transactions, read again %v, placed %d", len(store.txns), j.reread, len(j.Placed))
+	}
+	// Once the last controller is new, it is divided and written.
+	d.Format(rollout.Status{Open: true})
+	j.dirtyAt = 0
+	d.commit()
+	d.commit()
+	if !j.dividing || len(store.txns) != 3 {
+		t.Fatalf("dividing %v, %d transactions", j.dividing, len(store.txns))
+	}
+}
+
+// divided is a leader with an array in parts, its first task placed on m-1.
+func divided(t *testing.T) (*Dispatch, *commits, *job) {
+	t.Helper()
+	d, store := tightLeader(true)
+	content := ledger.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeArray, Rank: "normal", Tasks: 250}, 1)
+	content.PartSize, content.Marked = 100, true
+	d.adopt(ledger.Key("job-1"), content.Encode(), 5)
+	j := d.jobs["job-1"]
+	d.place(j, ledger.Placement{Task: 0, Try: 1, Machine: "m-1", Shift: 1})
+	d.commit()
+	return d, store, j
+}
+
+// A placement in a part is acted on once the part is stored, and the head needn't change
+// for it; what it depends on is that the head hasn't.
+func TestPartsAreCommittedAlone(t *testing.T) {
+	d, store, j := divided(t)
+	if j.committed(j.Placed[0]) {
+		t.Fatal("acted on before it is stored")
+	}
+	txn := store.txns[0]
+	if len(txn.Changes) != 1 || txn.Changes[0].Put != ledger.PartKey("job-1", 0) || len(txn.Guards) != 3 {
+		t.Fatalf("%+v", txn)
+	}
+	store.answer(ok(9))
+	if !j.committed(j.Placed[0]) || j.version != 5 || j.parts[0].version != 9 || d.jobs["job-1"] != j {
+		t.Fatalf("versions %d and %d", j.version, j.parts[0].version)
+	}
+}
+
+// A cancellation by another node changes the head alone: the part under way is refused,
+// nothing of it counts as stored, and what was placed stays known until proof.
+func TestCancellationWinsOverParts(t *testing.T) {
+	d, store, j := divided(t)
+	cancelled := *j.Job
+	cancelled.Status, cancelled.CancelledAt = protocol.StatusCancelled, int64(d.now())
+	d.adopt(ledger.Key("job-1"), cancelled.Encode(), 8)
+	store.answer(statestore.Reply[protocol.TxnAnswer]{Status: http.StatusConflict,
+		Value: protocol.TxnAnswer{Failed: []string{ledger.Key("job-1")}}})
+	if !j.over() || j.committed(j.Placed[0]) || j.reread || len(j.Placed) != 1 {
+		t.Fatalf("over %v, committed %v, read again %v, placed %v", j.over(), j.committed(j.Placed[0]), j.reread, j.Placed)
+	}
+}
+
+// Limits that nobody announced are found by halves; a value alone that is refused waits
+// until it has become smaller, and isn't sent unchanged again.
+func TestUnknownLimitsAreLearned(t *testing.T) {
+	d, store := tightLeader(true)
+	for _, id := range []string{"job-1", "job-2", "job-3"} {
+		d.adopt(ledger.Key(id), ledger.New(protocol.JobSpec{ID: id, Shape: protocol.ShapeArray, Rank: "normal", Tasks: 1}, 1).Encode(), 5)
+		d.place(d.jobs[id], ledger.Placement{Task: 0, Try: 1, Machine: "m-1", Shift: 1})
+	}
+	refuse := statestore.Reply[protocol.TxnAnswer]{Status: http.StatusBadRequest}
+	for i, want := range []int{3, 3, 1} {
+		d.pauseUntil = 0
+		d.commit()
+		if n := len(store.txns[i].Changes); n != want {
+			t.Fatalf("transaction %d has %d changes", i, n)
+		}
+		store.answer(refuse)
+	}
+	refused := store.txns[2].Changes[0].Put
+	d.pauseUntil = 0
+	d.commit()
+	if next := store.txns[3].Changes; len(next) != 1 || next[0].Put == refused {
+		t.Fatalf("%s is sent again unchanged", refused)
+	}
+	if len(d.jobs) != 3 {
+		t.Fatal("a job was dropped")
+	}
+}
+
+// Parts that a leader left behind, ended while it divided a record, are removed; the
+// undivided record is what counts.
+func TestOrphanedPartsAreSwept(t *testing.T) {
+	d, store := tightLeader(true)
+	d.adopt(ledger.Key("job-1"), ledger.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeArray, Tasks: 300}, 1).Encode(), 5)
+	d.adoptPart(protocol.Item{Key: ledger.PartKey("job-1", 0), Version: 4})
+	d.adoptPart(protocol.Item{Key: ledger.PartKey("job-9", 2), Version: 3})
+	d.divideLarge()
+	if d.jobs["job-1"].dividing {
+		t.Fatal("divided over parts that are there")
+	}
+	d.commit()
+	if len(store.txns) != 1 || len(store.txns[0].Changes) != 2 || store.txns[0].Changes[0].Delete == "" {
+		t.Fatalf("%+v", store.txns)
+	}
+	store.answer(ok(9))
+	if len(d.orphans) != 0 {
+		t.Fatalf("%v are left", d.orphans)
+	}
+}
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -150,7 +150,9 @@
 // since workers refuse older epochs, and so is what is done, since it doesn't
 // run again. Only a machine with very many such tries takes the risk.
 func (d *Dispatch) mayRepeat(m *machine, ref taskRef, t protocol.TaskReport) bool {
-	return t.Cause != protocol.CauseDone && m.sent[ref] != nil && len(m.tasks) < maxRemembered
+	j := d.jobs[ref.job]
+	final := t.Cause == protocol.CauseDone && (j == nil || !j.Spec.Service()) // a replica runs again after any end
+	return !final && m.sent[ref] != nil && len(m.tasks) < maxRemembered
 }
 
 // maxRemembered keeps reports well within their size limit.
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -269,7 +269,7 @@
 		}
 		content, err := ledger.Decode(r.Value.Value)
 		if r.Status == http.StatusOK && err == nil && content.PartSize > 0 {
-			d.readParts(j, reading{content: content, version: r.Value.Version}, "")
+			d.listParts(j, reading{content: content, version: r.Value.Version}, "", func(r reading) { d.replaceDivided(j, r) })
 			return
 		}
 		d.readingEnded(j)
@@ -292,8 +292,8 @@
 	parts   []protocol.Item
 }
 
-// readParts reads the parts of one record, page by page, and replaces what is in memory.
-func (d *Dispatch) readParts(j *job, r reading, from string) {
+// listParts reads the parts of one record, page by page.
+func (d *Dispatch) listParts(j *job, r reading, from string, done func(reading)) {
 	epoch := d.term.Epoch
 	id := j.Spec.ID
 	d.store.List(ledger.PartsOf(id), from, func(page statestore.Reply[protocol.ItemList]) {
@@ -308,11 +308,11 @@
 		}
 		r.parts = append(r.parts, page.Value.Items...)
 		if page.Value.More && len(page.Value.Items) > 0 {
-			d.readParts(j, r, page.Value.Items[len(page.Value.Items)-1].Key)
+			d.listParts(j, r, page.Value.Items[len(page.Value.Items)-1].Key, done)
 			return
 		}
 		if d.jobs[id] == j {
-			d.replaceDivided(j, r)
+			done(r)
 		}
 		d.readingEnded(j)
 		d.wake()
@@ -340,12 +340,13 @@
 	}
 	d.unplaceAll(j)
 	j.dividing, j.parts = false, nil
+	// The versions come before what the machines said meanwhile: that is news to the parts.
+	j.partsUnread = true
 	d.replaceContent(j, r.content, r.version)
 	for part, version := range versions {
 		j.parts[part].replaced(version)
 	}
-	d.finish(j)
-	d.retire(j)
+	d.partsRead(j)
 }
 
 // readingEnded takes what was followed while a record was read.
--- /dev/null
+++ b/internal/dispatch/service_test.go
@@ -0,0 +1,116 @@
+package dispatch
+
+import (
+	"testing"
+
+	"postpoint/internal/clock"
+	"postpoint/internal/ledger"
+	"postpoint/internal/protocol"
+)
+
+// service is a leader with a service of three replicas, the first of which runs on m-1.
+func service(t *testing.T) (*Dispatch, *job, *machine) {
+	t.Helper()
+	d, _ := leader()
+	content := ledger.New(protocol.JobSpec{ID: "job-1", Class: "portal", Shape: protocol.ShapeService, Rank: "prod", Tasks: 3}, 1)
+	content.Placed[0] = ledger.Placement{Task: 0, Try: 1, Machine: "m-1", Shift: 1}
+	d.adopt(ledger.Key("job-1"), content.Encode(), 5)
+	d.observe(d.machines["m-1"], report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskRunning}))
+	return d, d.jobs["job-1"], d.machines["m-1"]
+}
+
+// Whatever a replica ends with, it is to run again under another try, and the service
+// isn't done; its machine isn't set aside for it.
+func TestReplicasRunAgainWhateverTheirEnd(t *testing.T) {
+	for _, cause := range []string{protocol.CauseDone, protocol.CauseError, protocol.CausePeers, protocol.CauseStopped, "unheard of"} {
+		d, j, m := service(t)
+		d.observe(m, report(1, 2, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskExited, Cause: cause}))
+		if j.Final() || j.Done.Len() > 0 || len(j.Placed) > 0 || j.NextTry < 2 {
+			t.Errorf("%s: final %v, done %v, placed %v, next try %d", cause, j.Final(), j.Done.String(), j.Placed, j.NextTry)
+		}
+		pending := j.restartable(j.Startable(8<<10, 10), d.now())
+		if len(pending) != 3 {
+			t.Errorf("%s: %v may start", cause, pending)
+		}
+		if m.quarantine || len(m.faults) > 0 {
+			t.Errorf("%s: the machine is blamed", cause)
+		}
+	}
+}
+
+// A replica that ends soon after each start waits longer each time, within bounds, and
+// alone: the others start at once. A good run lets it start at once again.
+func TestReplicaThatEndsAtOnceBacksOff(t *testing.T) {
+	d, j, m := service(t)
+	p := ledger.Placement{Task: 0, Try: 1, Machine: "m-1", Shift: 1}
+	end := func(ran clock.Micros) clock.Micros {
+		d.replicaEnded(m, j, p, protocol.CauseError, ran)
+		return j.restarts[0].until - d.now()
+	}
+	if first := end(clock.Second); first != 0 {
+		t.Fatalf("the first restart waits %v s", first.Seconds())
+	}
+	total := clock.Micros(0)
+	for i := range 12 {
+		pause := end(clock.Second)
+		total += pause
+		if pause < firstRestartPause*3/4 || pause > maxRestartPause*5/4 {
+			t.Fatalf("restart %d waits %v s", i+2, pause.Seconds())
+		}
+	}
+	if total < 5*60*clock.Second {
+		t.Errorf("twelve restarts wait %v s altogether", total.Seconds())
+	}
+	pending := j.restartable([]int{0, 1, 2}, d.now())
+	if len(pending) != 2 || pending[0] != 1 {
+		t.Errorf("%v may start", pending)
+	}
+	if n := j.waitingRestarts(d.now()); n != 0 {
+		t.Errorf("%d replicas wait while the first is placed", n)
+	}
+	delete(j.Placed, 0)
+	if n := j.waitingRestarts(d.now()); n != 1 {
+		t.Errorf("%d replicas wait", n)
+	}
+	if again := end(goodRun); again != 0 {
+		t.Errorf("after a good run it waits %v s", again.Seconds())
+	}
+}
+
+// The end of a replica, done or not, isn't forgotten in the term that started it: a late
+// copy of the start would run it again beside its next attempt.
+func TestEndsOfReplicasAreRemembered(t *testing.T) {
+	d, _, m := service(t)
+	ref := taskRef{"job-1", 0, 1}
+	m.sent[ref] = &sent{}
+	if !d.mayRepeat(m, ref, protocol.TaskReport{Cause: protocol.CauseDone}) {
+		t.Error("a replica that ended as done counts as one that doesn't run again")
+	}
+}
+
+// A service that a version before has noted ends of is one all the same: no end counts.
+func TestServiceRecordsOfTheVersionBefore(t *testing.T) {
+	d, _ := leader()
+	raw := protocol.Encode(map[string]any{
+		"spec": protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeService, Tasks: 2}, "at": 1, "done": "0", "try": 4,
+	})
+	d.adopt(ledger.Key("job-1"), raw, 5)
+	j := d.jobs["job-1"]
+	if j.Done.Len() != 0 || j.PendingCount() != 2 || j.NextTry != 4 {
+		t.Fatalf("done %v, pending %d, next try %d", j.Done.String(), j.PendingCount(), j.NextTry)
+	}
+}
+
+// Replicas aren't taken for borrowed work of their team, which others' guarantees end.
+func TestReplicasArentBorrowed(t *testing.T) {
+	d, _, _ := service(t)
+	s := d.snapshot()
+	markBorrowed(&s)
+	for _, j := range s.Jobs {
+		for _, r := range j.Running {
+			if r.Borrowed {
+				t.Errorf("%s/%d is borrowed", j.ID, r.Task)
+			}
+		}
+	}
+}
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -15,6 +15,8 @@
 	dirtyAt clock.Micros
 	// fresh are the tasks whose placements aren't stored yet.
 	fresh []int
+	// uncertain tells that a change had no answer: the key may exist, or have another version.
+	uncertain bool
 	// refusedBytes is the size at which the state service refused the value, 0 if it didn't.
 	refusedBytes int
 }
@@ -32,12 +34,15 @@
 
 // replaced takes over what was read.
 func (v *storedValue) replaced(version int64) {
-	v.version = version
+	v.version, v.uncertain = version, false
 	v.changed++
 	v.durable = v.changed
 	v.fresh = nil
 }
 
+// absent tells that the key surely doesn't exist.
+func (v *storedValue) absent() bool { return v.version == 0 && !v.uncertain }
+
 // valueOf is where a task's state is stored. While a record is being divided that is
 // still its undivided form.
 func (j *job) valueOf(task int) *storedValue {
@@ -64,7 +69,7 @@
 		return false
 	}
 	for _, v := range j.parts {
-		if v.inFlight || j.Final() && v.version != 0 || !j.Final() && !v.isStored() {
+		if v.inFlight || j.Final() && !v.absent() || !j.Final() && !v.isStored() {
 			return false
 		}
 	}
@@ -73,11 +78,12 @@
 
 // recorded tells that what became of a task is stored.
 func (j *job) recorded(task int) bool {
-	switch {
-	case j.reread || j.partsUnread:
-		return false
-	case j.Final() || task >= j.Spec.Tasks:
-		return j.isStored() // the parts of a job that is over are only removed
+	if j.reread || j.partsUnread || task >= j.Spec.Tasks {
+		return !j.reread && !j.partsUnread
+	}
+	v := j.valueOf(task)
+	if j.Final() && v != &j.storedValue {
+		return j.isStored() && v.absent() && !v.inFlight // parts are then only removed
 	}
-	return j.valueOf(task).isStored()
+	return v.isStored()
 }
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -64,6 +65,57 @@
 	}
 }
 
+// Frames of the version before, byte for byte: what it asks and answers is understood, and
+// it is asked and answered in the same form.
+func TestFramesOfTheVersionBefore(t *testing.T) {
+	for raw, want := range map[string]intake.Request{
+		"pp01\x00\x00\x00\x0d\x02\x00\x0ajob-000412":                 {Kind: intake.Show, ID: "job-000412", Body: []byte{}, Forwarded: true},
+		"pp01\x00\x00\x00\x05\x01\x00\x00\x81\xc0":                   {Kind: intake.Submit, Body: []byte("\x81\xc0"), Forwarded: true},
+		"pp01\x00\x00\x00\x0b\x04\x00\x00\x00\x00\x00\x00\x00\x0fB@": {Kind: intake.Attest, Body: []byte("\x00\x00\x00\x00\x00\x0fB@"), Forwarded: true},
+	} {
+		payload, err := readFrame(strings.NewReader(raw))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := decodeRequest(payload)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(want, got); d != "" {
+			t.Fatal(d)
+		}
+		if again := string(frame(encodeRequest(got))); again != raw {
+			t.Errorf("asked as %q", again)
+		}
+	}
+	raw := "pp01\x00\x00\x00\x07\x01\xf7\x00\x01err"
+	payload, err := readFrame(strings.NewReader(raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := decodeAnswer(payload)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(intake.Answer{Status: 503, RetryS: 1, Body: []byte("err")}, got); d != "" {
+		t.Fatal(d)
+	}
+	if again := string(frame(encodeAnswer(got))); again != raw {
+		t.Errorf("answered as %q", again)
+	}
+	attestation := "\x00\x00\x00\x00\x00\x0fB@\x00\x00\x00\x00\x00\x00\x00\x29\x05job-7\x00\x00\x00\x00\x00\x00\x00\x02"
+	a, err := intake.DecodeAttestation([]byte(attestation))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(intake.Attestation{Age: clock.Second, Epoch: 41, Cancelled: []intake.CancelledJob{{Job: "job-7", Ago: 2}}}, a); d != "" {
+		t.Fatal(d)
+	}
+	if string(a.Encode()) != attestation {
+		t.Errorf("vouched for as %q", a.Encode())
+	}
+}
+
 // Whatever another node or something else sends, the connection is closed with
 // a reason and nothing else happens; a request that is one is answered.
 func TestServeClosesOnGarbage(t *testing.T) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -35,6 +35,12 @@
 		{`"write_rps":30`, `"write_rps":-1`}:                  "deployment.state.write_rps",
 		{`"initial_size":3`, `"initial_size":0`}:              "deployment.initial_size",
 		{`"clock_error_ms":250}}`, `"clock_error_ms":250}}}`}: "",
+
+		{`"txn_ops":12`, `"txn_ops":12,"next":{"txn_ops":0}`}:       "deployment.state.next.txn_ops",
+		{`"txn_ops":12`, `"txn_ops":12,"next":{"value_kb":1}`}:      "deployment.state.next.value_kb",
+		{`"txn_ops":12`, `"txn_ops":12,"next":{"write_rps":-3}`}:    "deployment.state.next.write_rps",
+		{`"txn_ops":12`, `"txn_ops":12,"next":{"rps":0}`}:           "deployment.state.next.rps",
+		{`"txn_ops":12`, `"txn_ops":12,"next":{"value_kb":"more"}`}: "value_kb",
 	} {
 		text := strings.Replace(good, change[0], change[1], 1)
 		if text == good {
@@ -45,3 +51,21 @@
 		}
 	}
 }
+
+// Announced limits count where they are tighter; what they leave out stays.
+func TestTightestLimits(t *testing.T) {
+	for next, want := range map[string]State{
+		`null`: {Rps: 100, WriteRps: 30, ValueKb: 32, TxnOps: 12},
+		`{}`:   {Rps: 100, WriteRps: 30, ValueKb: 32, TxnOps: 12},
+		`{"write_rps":21,"value_kb":2,"txn_ops":4}`: {Rps: 100, WriteRps: 21, ValueKb: 2, TxnOps: 4},
+		`{"value_kb":64,"txn_ops":4}`:               {Rps: 100, WriteRps: 30, ValueKb: 32, TxnOps: 4},
+	} {
+		s, err := Parse([]byte(strings.Replace(good, `"txn_ops":12`, `"txn_ops":12,"next":`+next, 1)))
+		if err != nil {
+			t.Fatal(next, err)
+		}
+		if got := s.Deployment.State.Tightest(); got != want {
+			t.Errorf("%s: %+v", next, got)
+		}
+	}
+}
--- a/internal/testkit/state.go
+++ b/internal/testkit/state.go
@@ -10,6 +10,7 @@
 	"postpoint/internal/leadership"
 	"postpoint/internal/ledger"
 	"postpoint/internal/protocol"
+	"postpoint/internal/settings"
 	"postpoint/internal/statestore"
 )
 
@@ -42,6 +43,14 @@
 	// LateWrites is the share of transactions that get no answer and are carried out
 	// seconds later, after newer ones.
 	LateWrites float64
+	// ValueBytes and TxnOps are limits, in bytes of JSON and in changes of a transaction;
+	// ChangesPerS is that of the changes of each second. 0: none.
+	ValueBytes, TxnOps, ChangesPerS int
+	// second is that of the changes which changesNow counts.
+	second     clock.Micros
+	changesNow int
+	// CheckPut looks at each value that is stored, if a test cares.
+	CheckPut func(key string, value []byte)
 	// Changes and Requests count puts and all requests, for tests that bound them.
 	Changes, Requests int
 	// Kept is how many changes followers may be behind, Page what a list gives at
@@ -122,7 +131,38 @@
 	return events
 }
 
+// Limit sets the limits that the settings name; a rate only if it is asked for.
+func (s *State) Limit(l settings.State, rate bool) {
+	s.ValueBytes, s.TxnOps = l.ValueBytes(), l.TxnOps
+	if rate {
+		s.ChangesPerS = int(l.WriteRps)
+	}
+}
+
+// refused judges a transaction by the limits: 0 if they allow it.
+func (s *State) refused(t protocol.Txn) int {
+	if s.TxnOps > 0 && (len(t.Changes) > s.TxnOps || len(t.Guards) > 4*s.TxnOps) {
+		return http.StatusBadRequest
+	}
+	for _, c := range t.Changes {
+		if s.ValueBytes > 0 && c.Put != "" && protocol.JSONSize(c.Value) > s.ValueBytes {
+			return http.StatusBadRequest
+		}
+	}
+	if second := s.w.now / clock.Second; second != s.second {
+		s.second, s.changesNow = second, 0
+	}
+	s.changesNow += len(t.Changes)
+	if s.ChangesPerS > 0 && s.changesNow > s.ChangesPerS {
+		return http.StatusTooManyRequests
+	}
+	return 0
+}
+
 func (s *State) commit(t protocol.Txn) statestore.Reply[protocol.TxnAnswer] {
+	if status := s.refused(t); status != 0 {
+		return statestore.Reply[protocol.TxnAnswer]{Status: status}
+	}
 	var failed []string
 	for _, g := range t.Guards {
 		if s.keys[g.Key].version != g.Version {
@@ -143,6 +183,9 @@
 	for _, c := range t.Changes {
 		s.Changes++
 		if c.Put != "" {
+			if s.CheckPut != nil {
+				s.CheckPut(c.Put, c.Value)
+			}
 			s.keys[c.Put] = entry{c.Value, s.revision, c.Lease}
 			s.log = append(s.log, protocol.Event{Put: c.Put, Value: c.Value, Version: s.revision})
 		} else {
