--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -16,8 +16,14 @@
 type classUse struct {
 	spec     protocol.JobSpec
 	at       clock.Micros
-	arrivals []clock.Micros // of the last rateTime
-	pace     float64        // run times against the owners' estimates, on average
+	arrivals []arrival // of the last rateTime
+	pace     float64   // run times against the owners' estimates, on average
+}
+
+// arrival is a job that came.
+type arrival struct {
+	at    clock.Micros
+	tasks int
 }
 
 // load reads all records, page by page. The first page's revision is where
@@ -362,6 +368,6 @@
 func (d *Dispatch) noteClass(s *protocol.JobSpec) {
 	u := d.classSeen[s.Class]
 	u.spec, u.at = *s, d.now()
-	u.arrivals = append(slices.DeleteFunc(u.arrivals, func(at clock.Micros) bool { return at < u.at-rateTime }), u.at)
+	u.arrivals = append(slices.DeleteFunc(u.arrivals, func(a arrival) bool { return a.at < u.at-rateTime }), arrival{u.at, s.Tasks})
 	d.classSeen[s.Class] = u
 }
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -2,10 +2,14 @@
 
 import (
 	"log/slog"
+	"math"
 	"math/rand/v2"
+	"slices"
 
 	"postpoint/internal/clock"
+	"postpoint/internal/fleet"
 	"postpoint/internal/ledger"
+	"postpoint/internal/planner"
 	"postpoint/internal/protocol"
 )
 
@@ -118,13 +122,12 @@
 // end. If half of all machines are silent, it is more likely this node that hears nothing.
 func (d *Dispatch) replaceSilent() {
 	now := d.now()
-	report := d.set.Deployment.Workers.Report()
 	var silent []*machine
 	heard := 0
 	for _, m := range d.roster {
 		switch {
-		case !m.seen || m.releasing:
-		case now <= max(m.heardAt, d.begunAt+takeoverTime)+report*5/4+missedMargin:
+		case m.releasing:
+		case !d.late(m):
 			heard++
 		case d.holdsReplicas(m):
 			silent = append(silent, m)
@@ -135,7 +138,7 @@
 	}
 	for _, m := range silent {
 		switch {
-		case m.probedAt <= m.heardAt:
+		case m.probedAt <= m.heardAt || m.probedAt == 0:
 			m.probedAt = now
 			if !m.calling && m.addr != "" {
 				d.command(m, m.shift, []protocol.Order{}, func(int, *protocol.Report) {})
@@ -147,6 +150,68 @@
 	}
 }
 
+// late tells that a machine should have been heard of by now. A new leader gives workers
+// the time to find it.
+func (d *Dispatch) late(m *machine) bool {
+	if d.now() <= d.begunAt+takeoverTime {
+		return false
+	}
+	return !m.seen || d.now() > m.heardAt+d.set.Deployment.Workers.Report()*5/4+missedMargin
+}
+
+// spareReplicas is how many places are kept for replicas of a class: for one more job, for
+// those that come while a machine boots, and for the loss of the machine with most replicas.
+func (d *Dispatch) spareReplicas(u classUse) int {
+	recent, largest := 0, 0
+	for _, a := range u.arrivals {
+		recent += a.tasks
+		largest = max(largest, a.tasks)
+	}
+	boot := 0.0
+	for _, name := range d.replicaTypes(&u.spec) {
+		boot = max(boot, d.types[name].BootS)
+	}
+	coming := int(math.Ceil(float64(recent) * boot * soonBoots / rateTime.Seconds()))
+	return max(coming, largest) + d.mostReplicas()
+}
+
+// mostReplicas is how many replicas the machine with most of them holds, within bounds.
+func (d *Dispatch) mostReplicas() int {
+	most := 0
+	for _, m := range d.roster {
+		most = max(most, m.view.Replicas)
+	}
+	return min(most, maxSpareForLoss)
+}
+
+// replicaTypes are the machine types that replicas of a job are to have for long: a replica
+// keeps its whole machine, so that only those count which cost about as little as any.
+func (d *Dispatch) replicaTypes(s *protocol.JobSpec) []string {
+	cheapest := math.MaxFloat64
+	fits := func(t protocol.MachineType) bool {
+		return planner.Needs(s).Fits(fleet.Whole(t)) && (len(s.Types) == 0 || slices.Contains(s.Types, t.Name))
+	}
+	for _, t := range d.catalogue {
+		if fits(t) {
+			cheapest = min(cheapest, t.Price)
+		}
+	}
+	var names []string
+	for _, t := range d.catalogue {
+		if fits(t) && t.Price <= replicaPriceTimes*cheapest {
+			names = append(names, t.Name)
+		}
+	}
+	return names
+}
+
+const (
+	// replicaPriceTimes the cheapest machine's price is about as little.
+	replicaPriceTimes = 2.5
+	// maxSpareForLoss bounds the places kept for the loss of a machine.
+	maxSpareForLoss = 8
+)
+
 const (
 	// takeoverTime is what workers take to find a new leader.
 	takeoverTime = 8 * clock.Second
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -66,6 +66,9 @@
 		}
 		spec := u.spec
 		spec.Shape, spec.Tasks = protocol.ShapeArray, u.spec.Tasks*(1+int(float64(len(u.arrivals))*spareS/rateTime.Seconds()))
+		if u.spec.Service() {
+			spec.Tasks, spec.Types = d.spareReplicas(u), d.replicaTypes(&u.spec)
+		}
 		j := planner.Job{ID: sparePrefix + class, Spec: &spec, Rank: protocol.RankOf(spec.Rank), SubmittedAt: math.MaxInt64,
 			Tier: planner.StartsInTime, StartS: math.MaxFloat64, SlackS: math.MaxFloat64, Limit: spec.Tasks}
 		for t := range spec.Tasks {
@@ -279,6 +282,7 @@
 	}
 	m.pull(now, t)
 	m.view.PullS = m.pullGB * m.view.FetchS
+	m.view.Late = d.late(m)
 	return m.view, !m.strange
 }
 
@@ -307,7 +311,9 @@
 	for id, tasks := range inOrder(m.placed) {
 		j := d.jobs[id]
 		m.view.Free = m.view.Free.Minus(planner.Needs(&j.Spec).Times(float64(len(tasks))))
-		m.view.Pinned = m.view.Pinned || j.Spec.Service()
+		if j.Spec.Service() {
+			m.view.Replicas += len(tasks)
+		}
 		if m.view.Pull(&j.Spec); !slices.Contains(before, j.Spec.Image) && slices.Contains(m.view.Pulling, j.Spec.Image) {
 			m.pullGB += j.Spec.ImageGB
 			before = append(before, j.Spec.Image)
--- a/internal/fleet/cordon.go
+++ b/internal/fleet/cordon.go
@@ -17,7 +17,7 @@
 func Cordon(s planner.Snapshot, looks, batch int) ([]string, int) {
 	var order []planner.Machine
 	for _, m := range s.Machines {
-		if !m.Booting && !m.Pinned && idleShare(m) > spareShare {
+		if !m.Booting && m.Replicas == 0 && idleShare(m) > spareShare {
 			order = append(order, m)
 		}
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -176,6 +176,9 @@
 		team.Used = team.Used.Plus(Needs(j.Spec))
 	}
 	m.Pull(j.Spec)
+	if j.Spec.Service() {
+		m.Replicas++
+	}
 	if j.zoned() {
 		j.Running = append(j.Running, Running{Task: task, Machine: m.Name, Zone: m.Zone})
 	} else {
--- a/internal/planner/score.go
+++ b/internal/planner/score.go
@@ -46,7 +46,7 @@
 	needs := Needs(j.Spec)
 	for i := range p.machines {
 		m := &p.machines[i]
-		if needs.Fits(m.Free) && !(up && m.Booting) && Allowed(j.Spec, m.Type, m.Zone, m.Spot) && !j.Avoid[m.Name] {
+		if needs.Fits(m.Free) && !(up && m.Booting) && !(m.Late && j.Spec.Service()) && Allowed(j.Spec, m.Type, m.Zone, m.Spot) && !j.Avoid[m.Name] {
 			all = append(all, m)
 		}
 	}
@@ -122,9 +122,23 @@
 // bootRiskS is for machines that take longer to boot than they should, in seconds.
 const bootRiskS = 10
 
-// pinnedWeight is what a machine's price, an hour, counts in seconds if a service's replica
-// is the first to keep it.
-const pinnedWeight = 10
+const (
+	// pinnedWeight is what a machine's price, an hour, counts in seconds if a service's
+	// replica is the first to keep it.
+	pinnedWeight = 3
+	// crowdS is what each replica on a machine counts, in seconds, for the next: all of them
+	// are lost with it.
+	crowdS = 1
+)
+
+// replicaScore is for the whole machine that a replica keeps from being returned, and for
+// what would be lost together.
+func replicaScore(m *Machine) float64 {
+	if m.Replicas == 0 {
+		return pinnedWeight * m.Price
+	}
+	return crowdS * float64(m.Replicas)
+}
 
 // score weighs, in seconds, the wait for the image, running on a costlier
 // machine than needed, and how much of the machine would be left in pieces:
@@ -139,9 +153,8 @@
 	if m.Spot && j.Spec.CheckpointS == 0 {
 		s += spotRisk * j.Spec.EstimateS
 	}
-	if j.Spec.Service() && !m.Pinned {
-		// A replica keeps its whole machine from being returned.
-		s += pinnedWeight * m.Price
+	if j.Spec.Service() {
+		s += replicaScore(m)
 	}
 	s += 10 * m.Price * needs.Share(m.Whole)
 	s += 5 * m.Free.Minus(needs).Share(m.Whole)
--- a/internal/planner/snapshot.go
+++ b/internal/planner/snapshot.go
@@ -25,9 +25,11 @@
 	PullS   float64
 	// BootS is how many seconds a booting machine is expected to take yet.
 	BootS float64
-	// Pinned machines hold replicas of services, which nothing makes end.
-	Pinned bool
-	Slow   float64 // by how much longer its tasks ran than others', 0 if they didn't
+	// Replicas counts the replicas of services there, which nothing makes end.
+	Replicas int
+	// Late machines should have been heard of by now.
+	Late bool
+	Slow float64 // by how much longer its tasks ran than others', 0 if they didn't
 }
 
 // ImageS is how many seconds a task of the job would wait there for its image.
