Four thousand machines: a test through a takeover and the loss of a zone; addresses kept

Constants that could bind below 4,000 machines were gone through; the one that did was the table of workers' addresses, emptied beyond 4,096 names, replaced machines included.

--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -48,10 +48,7 @@
 		reply(http.StatusServiceUnavailable, protocol.Redirect{})
 		return
 	}
-	if len(d.addresses) > 4096 {
-		clear(d.addresses)
-	}
-	d.addresses[r.Machine] = r.Address
+	d.noteAddress(r.Machine, r.Address)
 	if !d.leads() && !d.keeps() || d.wasReleased(r.Machine) {
 		hint := d.leader
 		if hint == d.set.Node {
@@ -87,6 +84,18 @@
 	reply(http.StatusOK, answer)
 }
 
+// noteAddress keeps where a machine can be reached, for a term that this node may come to
+// lead. Of machines that were replaced in the meantime only so many are kept.
+func (d *Dispatch) noteAddress(machine, address string) {
+	if len(d.addresses) > 2*len(d.roster)+maxAddresses {
+		clear(d.addresses) // reports bring those of live machines back
+	}
+	d.addresses[machine] = address
+}
+
+// maxAddresses is beyond the machines of any deployment and a day's replacements.
+const maxAddresses = 32 << 10
+
 // challenge asks a machine that has only old reports to give what it has to say
 // now: either they are late copies, or it has started over, and counts from one
 // again. The answer to a command is never older than the command. A machine that
--- a/internal/testkit/scale_test.go
+++ b/internal/testkit/scale_test.go
@@ -231,3 +231,64 @@
 		t.Errorf("a job submitted to the next leader began after %.1f s", (last.began - last.submitted).Seconds())
 	}
 }
+
+// Four thousand machines with services among the work: the leader ends, and before the next
+// has heard of everybody a zone of a thousand machines is gone for good. Replicas that ran
+// there run elsewhere, each once, all work is done, and what is asked of the outside systems
+// stays in proportion.
+func TestFourThousandMachinesLoseAZone(t *testing.T) {
+	t.Parallel()
+	w := NewWorld(20)
+	set := tighteningSettings()
+	set.Deployment.Workers = settings.Workers{ReportS: 6, LeaseS: 31, GangWaitS: 40, GangPeerS: 5, CancelS: 51}
+	set.Deployment.State.Rps, set.Deployment.State.WriteRps = 250, 70
+	set.Deployment.Cloud.Rps = 12
+	d := NewDeployment(w, set, testTypes(), 0)
+	d.State.Kept, d.State.Page = 10_000, 500
+	d.Cloud.Reliable = true
+	d.Cloud.Capacity = map[fleet.Kind]int{{Type: "small", Zone: "a"}: 3000, {Type: "small", Zone: "b"}: 1000}
+	d.State.Limit(set.Deployment.State.Tightest(), false)
+	submit := func(shape, rank string, tasks int, cpus float64, run clock.Micros) *Job {
+		return d.Submit(protocol.JobSpec{ID: fmt.Sprintf("job-%06d", len(d.order)), Class: shape, Team: "open", Shape: shape,
+			Rank: rank, Tasks: tasks, Cpus: cpus, MemoryGB: 1, Image: "i", Spread: shape == protocol.ShapeService, EstimateS: run.Seconds()}, run, false)
+	}
+	for i := range clock.Micros(8) {
+		w.After(i*2*clock.Second, func() { submit(protocol.ShapeArray, "normal", 975, 4, 150*clock.Second) })
+	}
+	var services []*Job
+	for i := range clock.Micros(20) {
+		w.After(60*clock.Second+i*clock.Second, func() { services = append(services, submit(protocol.ShapeService, "prod", 6, 1, 0)) })
+	}
+	w.After(120*clock.Second, func() {
+		if up := len(d.Workers()); up < 3900 {
+			t.Errorf("only %d machines are up", up)
+		}
+		old := d.Nodes[leading(t, d)]
+		old.Crash()
+		w.After(3*clock.Second, func() { d.StartNode(old) })
+	})
+	w.After(124*clock.Second, func() {
+		for _, m := range d.Workers() {
+			if m.zone == "b" {
+				m.Die()
+			}
+		}
+		d.Cloud.Capacity[fleet.Kind{Type: "small", Zone: "b"}] = 0
+	})
+	w.Run(200 * clock.Second)
+	for _, j := range services {
+		running := 0
+		for _, on := range j.places {
+			running += len(on)
+		}
+		// Spread lets half of them, rounded up, be in the zone that is left.
+		if running < 3 {
+			t.Errorf("%s: %d replicas run 76 s after the zone was lost", j.spec.ID, running)
+		}
+	}
+	w.Run(600 * clock.Second)
+	if left := d.Unfinished(); len(w.Broken) > 0 || len(left) > 0 {
+		t.Fatalf("broken %v, accepted but not done %v", w.Broken[:min(len(w.Broken), 5)], left)
+	}
+	d.mustHaveUsed(t, used{changes: 3400, requests: 8000, calls: 1200, plans: 2900, commands: 8500})
+}
