--- a/internal/dispatch/catalogue.go
+++ b/internal/dispatch/catalogue.go
@@ -91,9 +91,14 @@
 			d.shared = false
 			return
 		}
+		value := protocol.Encode(protocol.Catalogue{Types: d.catalogue})
+		if size, limit := protocol.JSONSize(value), d.set.Deployment.State.Tightest().ValueBytes(); size > limit {
+			slog.Info("the catalogue is too large to be left for others", "bytes", size, "limit", limit)
+			return
+		}
 		t := protocol.Txn{
 			Guards:  []protocol.Guard{{Key: leadership.Key, Version: epoch}, {Key: catalogueKey, Version: r.Value.Version}},
-			Changes: []protocol.Change{{Put: catalogueKey, Value: protocol.Encode(protocol.Catalogue{Types: d.catalogue})}},
+			Changes: []protocol.Change{{Put: catalogueKey, Value: value}},
 		}
 		d.store.Commit(statestore.ForLeader, t, func(r statestore.Reply[protocol.TxnAnswer]) {
 			if d.term.Epoch == epoch && r.Status != http.StatusOK {
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -171,7 +171,7 @@
 // dirtyUnits are the changes that are due, and reads those records again that must be.
 func (d *Dispatch) dirtyUnits() []unit {
 	var units []unit
-	for _, j := range d.jobs {
+	for _, j := range inOrder(d.jobs) {
 		switch {
 		case j.reread:
 			d.readAgain(j)
--- a/internal/dispatch/divide_test.go
+++ b/internal/dispatch/divide_test.go
@@ -224,3 +224,16 @@
 		t.Fatalf("%v are left", d.orphans)
 	}
 }
+
+// A cancellation whose record had to leave the placements out doesn't lose what this leader
+// knows of them: they count until proof.
+func TestTruncatedCancellationKeepsWhatIsKnown(t *testing.T) {
+	d, j, _, box := one(t)
+	cancelled := *j.Job
+	cancelled.Status, cancelled.CancelledAt, cancelled.Truncated = protocol.StatusCancelled, int64(box.Now), true
+	d.adopt(ledger.Key("job-1"), cancelled.Encode(), 8)
+	j = d.jobs["job-1"]
+	if j == nil || !j.over() || len(j.Placed) != 1 || d.machines["m-1"].placed["job-1"] == nil {
+		t.Fatalf("%+v", j)
+	}
+}
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -189,6 +189,9 @@
 		return
 	}
 	d.noteClass(&content.Spec)
+	if d.format.Open && content.Spec.Service() {
+		content.Marked = true // it was left by a version that took it for an array
+	}
 	j := newJob()
 	j.partsUnread = unread
 	d.jobs[id] = j
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -123,17 +123,19 @@
 func (d *Dispatch) replaceSilent() {
 	now := d.now()
 	var silent []*machine
-	heard := 0
+	heard, expected := 0, 0
 	for _, m := range d.roster {
-		switch {
-		case m.releasing:
-		case !d.late(m):
+		if m.releasing || !m.seen && len(m.placed) == 0 {
+			continue
+		}
+		expected++
+		if !d.late(m) {
 			heard++
-		case d.holdsReplicas(m):
+		} else if d.holdsReplicas(m) {
 			silent = append(silent, m)
 		}
 	}
-	if heard < len(d.roster)/2 {
+	if heard < expected/2 {
 		return
 	}
 	for _, m := range silent {
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -114,3 +114,93 @@
 		}
 	}
 }
+
+// Replicas on a machine that is to be taken move one at a time, and no further one while
+// another is on its way.
+func TestReplicasMoveOneAtATime(t *testing.T) {
+	d, j, m := service(t)
+	for task := 1; task < 3; task++ {
+		d.place(j, ledger.Placement{Task: task, Try: 1, Machine: "m-1", Shift: 1})
+	}
+	m.addr = "" // nothing is sent
+	m.recallAt = d.now() + 20*clock.Second
+	d.drain()
+	d.drain()
+	if len(j.stops) != 1 {
+		t.Fatalf("%d replicas are stopped at once", len(j.stops))
+	}
+	d.unplace(j, j.Placed[0])
+	d.drain()
+	if len(j.stops) != 0 {
+		t.Fatal("the next is stopped before the first is placed again")
+	}
+	d.place(j, ledger.Placement{Task: 0, Try: 2, Machine: "m-2", Shift: 1})
+	d.drain()
+	if len(j.stops) != 1 {
+		t.Fatal("the next isn't stopped")
+	}
+}
+
+// Room for replicas is kept on machines that cost about as little as any, for the jobs that
+// come while one boots and for the machine with most replicas.
+func TestSpareReplicas(t *testing.T) {
+	d, _, m := service(t)
+	d.onTypes = func([]protocol.MachineType) {}
+	d.takeCatalogue([]protocol.MachineType{
+		{Name: "small", Cpus: 8, MemoryGB: 16, Price: 0.5, SpotPrice: 0.2, BootS: 20, Zones: []string{"a"}},
+		{Name: "middle", Cpus: 16, MemoryGB: 64, Price: 1.2, SpotPrice: 0.5, BootS: 40, Zones: []string{"a"}},
+		{Name: "large", Cpus: 64, MemoryGB: 256, Price: 5, SpotPrice: 2, BootS: 30, Zones: []string{"a"}},
+	})
+	spec := protocol.JobSpec{Class: "portal", Shape: protocol.ShapeService, Tasks: 4, Cpus: 1}
+	if types := d.replicaTypes(&spec); len(types) != 2 || types[0] != "small" || types[1] != "middle" {
+		t.Fatalf("types %v", types)
+	}
+	spec.Cpus = 12
+	if types := d.replicaTypes(&spec); len(types) != 1 || types[0] != "middle" {
+		t.Fatalf("types %v", types)
+	}
+	spec.Cpus = 1
+	m.view.Replicas = 3
+	one := classUse{spec: spec, arrivals: []arrival{{d.now(), 4}}}
+	if n := d.spareReplicas(one); n != 4+3 {
+		t.Errorf("after one job %d places", n)
+	}
+	many := classUse{spec: spec}
+	for range 6 {
+		many.arrivals = append(many.arrivals, arrival{d.now(), 4})
+	}
+	if n := d.spareReplicas(many); n != 24+3 { // six jobs a minute, a minute to boot at worst
+		t.Errorf("after six jobs in a minute %d places", n)
+	}
+	m.view.Replicas = 100
+	if n := d.spareReplicas(one); n != 4+maxSpareForLoss {
+		t.Errorf("with a crowded machine %d places", n)
+	}
+}
+
+// A new leader asks machines with replicas that it has never heard of, and returns those
+// that don't answer, well before the proof of their leases; not if hardly anybody is heard.
+func TestUnheardMachinesWithReplicasAreReturned(t *testing.T) {
+	for _, others := range []int{0, 4} {
+		d, box := leader()
+		content := ledger.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeService, Rank: "prod", Tasks: 4}, 1)
+		for task := range 4 {
+			content.Placed[task] = ledger.Placement{Task: task, Try: 1, Machine: "m-" + string(rune('1'+task)), Shift: 1}
+		}
+		d.adopt(ledger.Key("job-1"), content.Encode(), 5)
+		for i := range others {
+			name := "m-9" + string(rune('0'+i))
+			d.machine(name).seen, d.machine(name).heardAt = true, box.Now+takeoverTime
+		}
+		box.Now += takeoverTime + clock.Millisecond
+		d.replaceSilent()
+		if d.machines["m-1"].releasing {
+			t.Fatal("returned unasked")
+		}
+		box.Now += probeTime + clock.Millisecond
+		d.replaceSilent()
+		if returned := d.machines["m-1"].releasing; returned != (others > 0) {
+			t.Errorf("with %d others heard of: returned %v", others, returned)
+		}
+	}
+}
--- a/internal/protocol/submission.go
+++ b/internal/protocol/submission.go
@@ -82,6 +82,11 @@
 		spec.DeadlineS = &due
 	}
 	p.checkChoices(spec)
+	if spec.Service() {
+		// Its replicas neither end nor save: an estimate, a deadline or a checkpoint interval
+		// would only mislead.
+		spec.EstimateS, spec.CheckpointS, spec.SaveS, spec.DeadlineS = 0, 0, 0, nil
+	}
 }
 
 // checkChoices looks at the fields of which only some values are known.
--- a/internal/protocol/submission_test.go
+++ b/internal/protocol/submission_test.go
@@ -77,3 +77,20 @@
 		}
 	})
 }
+
+// A service is taken with whatever it says of an end: replicas run until they are stopped.
+func TestServicesHaveNoEnd(t *testing.T) {
+	s := submission()
+	s["Shape"], s["ExpectedS"] = "daemon", 0.0
+	for _, estimate := range []float64{0, 240} {
+		s["ExpectedS"] = estimate
+		spec, err := parse(t, s)
+		if err != nil || !spec.Service() || spec.EstimateS != 0 || spec.CheckpointS != 0 || spec.SaveS != 0 || spec.DeadlineS != nil {
+			t.Errorf("%+v %v", spec, err)
+		}
+	}
+	s["ExpectedS"] = -1.0
+	if _, err := parse(t, s); err == nil || !strings.Contains(err.Error(), "ExpectedS") {
+		t.Errorf("a negative estimate: %v", err)
+	}
+}
