--- a/internal/dispatch/catalogue.go
+++ b/internal/dispatch/catalogue.go
@@ -7,6 +7,7 @@
 
 	"postpoint/internal/clock"
 	"postpoint/internal/leadership"
+	"postpoint/internal/ledger"
 	"postpoint/internal/protocol"
 	"postpoint/internal/statestore"
 )
@@ -92,7 +93,7 @@
 			return
 		}
 		value := protocol.Encode(protocol.Catalogue{Types: d.catalogue})
-		if size, limit := protocol.JSONSize(value), d.set.Deployment.State.Tightest().ValueBytes(); size > limit {
+		if size, limit := protocol.JSONSize(value), ledger.Usable(d.set.Deployment.State.Tightest().ValueBytes()); size > limit {
 			slog.Info("the catalogue is too large to be left for others", "bytes", size, "limit", limit)
 			return
 		}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -144,7 +144,7 @@
 		return false
 	}
 	size := protocol.JSONSize(value)
-	if size <= limit && (w.v.refusedBytes == 0 || size < w.v.refusedBytes) {
+	if size <= ledger.Usable(limit) && (w.v.refusedBytes == 0 || size < w.v.refusedBytes) {
 		return false
 	}
 	if w.part == head && w.j.PartSize == 0 && d.format.Open {
--- a/internal/dispatch/divide_test.go
+++ b/internal/dispatch/divide_test.go
@@ -84,7 +84,7 @@
 		t.Fatalf("%d changes, %d guards", len(txn.Changes), len(txn.Guards))
 	}
 	for _, c := range txn.Changes {
-		if size := protocol.JSONSize(c.Value); size > 2<<10 {
+		if size := protocol.JSONSize(c.Value); size > ledger.Usable(2<<10) {
 			t.Fatalf("%s has %d bytes", c.Put, size)
 		}
 	}
--- a/internal/ledger/parts.go
+++ b/internal/ledger/parts.go
@@ -34,7 +34,7 @@
 }
 
 const (
-	// fillPercent of a value's limit is used: sizes are computed, not measured.
+	// fillPercent of a value's limit is used.
 	fillPercent = 90
 	// partOverhead is what a part takes besides its tasks, in bytes of JSON.
 	partOverhead = 90
@@ -47,9 +47,13 @@
 	attemptBytes = 14
 )
 
+// Usable is how much of a value's limit is used: the state service may count the same JSON
+// with more digits or spaces than we do.
+func Usable(limit int) int { return limit * fillPercent / 100 }
+
 // PartSizeWithin is how many tasks a part has if it may take limit bytes.
 func PartSizeWithin(limit int) int {
-	return max(1, (limit*fillPercent/100-partOverhead)/placementBytes)
+	return max(1, (Usable(limit)-partOverhead)/placementBytes)
 }
 
 // PartSizeFor is how many tasks each part of a new record is for, 0 if one value of limit
@@ -70,7 +74,7 @@
 	if j.PartSize == 0 {
 		return true
 	}
-	return j.headBytes() <= limit*fillPercent/100 && (!spec.Gang() || j.Parts() <= txnOps)
+	return j.headBytes() <= Usable(limit) && (!spec.Gang() || j.Parts() <= txnOps)
 }
 
 // Parts is how many parts the record is divided into, 0 for an undivided one.
@@ -246,7 +250,7 @@
 			continue
 		}
 		part := j.PartOf(task)
-		if used[part]+freshPlacementBytes <= limit*fillPercent/100 {
+		if used[part]+freshPlacementBytes <= Usable(limit) {
 			used[part] += freshPlacementBytes
 			tasks = append(tasks, task)
 		}
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -205,7 +205,7 @@
 	const group, machine = 20, 15
 	number := len(strconv.Itoa(j.Spec.Tasks)) + 1 // with its comma
 	used := j.headBytes() + len(j.Done.spans)*2*number + len(j.Placed)*number + j.groups()*(group+machine)
-	return max(0, (limit*fillPercent/100-used)/(number+group+machine))
+	return max(0, (Usable(limit)-used)/(number+group+machine))
 }
 
 // headBytes is what a record takes at most without what belongs to single tasks.
