--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -30,7 +30,7 @@
 		asked  int32
 	}{{10 * clock.Second, transport.NotSent, 0}, {9 * clock.Second, transport.NotSent, 0}, {11 * clock.Second, http.StatusOK, 1}} {
 		got := 0
-		api.Commands(strings.TrimPrefix(worker.URL, "http://"), protocol.Commands{Epoch: 1, Shift: 1}, c.until, func(status int, _ protocol.Report) { got = status })
+		api.Commands(strings.TrimPrefix(worker.URL, "http://"), protocol.Commands{Epoch: 1, Session: 1}, c.until, func(status int, _ protocol.Report) { got = status })
 		(<-box.Messages)()
 		if got != c.status || asked.Load() != c.asked {
 			t.Errorf("until %v: status %d, the worker was asked %d times", c.until, got, asked.Load())
--- a/internal/dispatch/allowance.go
+++ b/internal/dispatch/allowance.go
@@ -47,7 +47,7 @@
 // with, unanswered, no later than its first report.
 func (d *Dispatch) proofAt(m *machine) clock.Micros {
 	w := d.set.Deployment.Workers
-	last := max(m.answeredAt, m.shiftAt, d.begunAt+w.KeepAlive())
+	last := max(m.answeredAt, m.sessionAt, d.begunAt+w.KeepAlive())
 	return last + w.Lease() + w.Lease()/1000 + leaseMargin
 }
 
@@ -62,7 +62,7 @@
 			continue
 		}
 		for _, p := range tasks {
-			if _, reported := m.tasks[taskRef{id, p.Task, p.Try}]; !reported && p.Shift >= m.shift {
+			if _, reported := m.tasks[taskRef{id, p.Task, p.Attempt}]; !reported && p.Session >= m.session {
 				return false
 			}
 		}
@@ -125,7 +125,7 @@
 	for _, ref := range left {
 		s := m.sentOf(ref)
 		if heartbeat || s.killAt == 0 || d.now()-s.killAt >= repeatTime {
-			orders = append(orders, protocol.Order{Verb: protocol.VerbStop, Task: protocol.TaskName(ref.job, ref.task), Try: ref.try})
+			orders = append(orders, protocol.Order{Verb: protocol.VerbStop, Task: protocol.TaskName(ref.job, ref.task), Attempt: ref.attempt})
 			s.killAt = d.now()
 		}
 	}
--- a/internal/dispatch/allowance_test.go
+++ b/internal/dispatch/allowance_test.go
@@ -29,7 +29,7 @@
 			})
 			return status, orders
 		}
-		m.shift = 1 // its session is known
+		m.session = 1 // its session is known
 		m.sent[taskRef{"job-1", 0, 1}] = &sent{uncertain: true}
 		if status, orders := say(1); status != 200 || len(orders) != 0 {
 			t.Fatalf("leads %v: answered %d with %v while there is time", leads, status, orders)
@@ -39,7 +39,7 @@
 			t.Fatalf("leads %v: answered %d though a start may still arrive", leads, status)
 		}
 		for counter := int64(3); counter < 5; counter++ { // at once again, too
-			status, orders := say(counter, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskRunning})
+			status, orders := say(counter, protocol.TaskReport{Task: "job-1/0", Attempt: 1, Status: protocol.TaskRunning})
 			if status != 200 || len(orders) != 1 || orders[0].Verb != protocol.VerbStop {
 				t.Fatalf("leads %v: answered %d with %v", leads, status, orders)
 			}
--- a/internal/dispatch/cordon.go
+++ b/internal/dispatch/cordon.go
@@ -89,7 +89,7 @@
 			return false
 		}
 		for _, p := range tasks {
-			ran := d.ran(m, taskRef{id, p.Task, p.Try})
+			ran := d.ran(m, taskRef{id, p.Task, p.Attempt})
 			if ran < settledTime || j.stops[p.Task].why != "" {
 				return false
 			}
@@ -107,7 +107,7 @@
 		if m == nil {
 			return false
 		}
-		if d.ran(m, taskRef{j.Spec.ID, p.Task, p.Try}) < settledTime {
+		if d.ran(m, taskRef{j.Spec.ID, p.Task, p.Attempt}) < settledTime {
 			return false
 		}
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -24,19 +24,19 @@
 	return d, box
 }
 
-// one is a leader that has committed one task to machine m-1 in its shift 1.
+// one is a leader that has committed one task to machine m-1 in its session 1.
 func one(t *testing.T) (*Dispatch, *job, *machine, *actortest.Still) {
 	t.Helper()
 	d, box := leader()
 	content := ledger.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeArray, Tasks: 1}, 1)
-	content.NextTry = 2
-	content.Placed[0] = ledger.Placement{Task: 0, Try: 1, Machine: "m-1", Shift: 1}
+	content.NextAttempt = 2
+	content.Placed[0] = ledger.Placement{Task: 0, Attempt: 1, Machine: "m-1", Session: 1}
 	d.adopt(ledger.Key("job-1"), content.Encode(), 5)
 	return d, d.jobs["job-1"], d.machines["m-1"], box
 }
 
-func report(shift, counter int64, tasks ...protocol.TaskReport) protocol.Report {
-	return protocol.Report{Machine: "m-1", Address: "m-1:1", Shift: shift, Counter: counter, Epoch: 7, Tasks: tasks}
+func report(session, counter int64, tasks ...protocol.TaskReport) protocol.Report {
+	return protocol.Report{Machine: "m-1", Address: "m-1:1", Session: session, Counter: counter, Epoch: 7, Tasks: tasks}
 }
 
 // BenchmarkHeartbeat is a report of eight running tasks that brings no news.
@@ -47,8 +47,8 @@
 	content := ledger.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeArray, Tasks: 8}, 1)
 	r := report(1, 0)
 	for task := range 8 {
-		content.Placed[task] = ledger.Placement{Task: task, Try: 1, Machine: "m-1", Shift: 1}
-		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: protocol.TaskName("job-1", task), Try: 1, Status: protocol.TaskRunning})
+		content.Placed[task] = ledger.Placement{Task: task, Attempt: 1, Machine: "m-1", Session: 1}
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: protocol.TaskName("job-1", task), Attempt: 1, Status: protocol.TaskRunning})
 	}
 	d.adopt(ledger.Key("job-1"), content.Encode(), 5)
 	for range 2 {
--- a/internal/dispatch/divide_test.go
+++ b/internal/dispatch/divide_test.go
@@ -29,9 +29,9 @@
 // wideArray is the record of an array of 300 tasks, all of which run on machines of their own.
 func wideArray() *ledger.Job {
 	content := ledger.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeArray, Rank: "normal", Tasks: 300}, 1)
-	content.NextTry = 2
+	content.NextAttempt = 2
 	for task := range content.Spec.Tasks {
-		content.Placed[task] = ledger.Placement{Task: task, Try: 1, Machine: fmt.Sprintf("m-%06d", task), Shift: 1}
+		content.Placed[task] = ledger.Placement{Task: task, Attempt: 1, Machine: fmt.Sprintf("m-%06d", task), Session: 1}
 	}
 	return content
 }
@@ -103,7 +103,7 @@
 	j := d.jobs["job-1"]
 	d.unplace(j, j.Placed[0])
 	j.dirtyAt = 0
-	d.place(d.jobs["job-2"], ledger.Placement{Task: 0, Try: 1, Machine: "m-z", Shift: 1})
+	d.place(d.jobs["job-2"], ledger.Placement{Task: 0, Attempt: 1, Machine: "m-z", Session: 1})
 	d.commit()
 	if len(store.txns) != 1 || len(store.txns[0].Changes) != 2 {
 		t.Fatalf("%d transactions", len(store.txns))
@@ -140,7 +140,7 @@
 	content.PartSize, content.Marked = 100, true
 	d.adopt(ledger.Key("job-1"), content.Encode(), 5)
 	j := d.jobs["job-1"]
-	d.place(j, ledger.Placement{Task: 0, Try: 1, Machine: "m-1", Shift: 1})
+	d.place(j, ledger.Placement{Task: 0, Attempt: 1, Machine: "m-1", Session: 1})
 	d.commit()
 	return d, store, j
 }
@@ -182,7 +182,7 @@
 	d, store := tightLeader(true)
 	for _, id := range []string{"job-1", "job-2", "job-3"} {
 		d.adopt(ledger.Key(id), ledger.New(protocol.JobSpec{ID: id, Shape: protocol.ShapeArray, Rank: "normal", Tasks: 1}, 1).Encode(), 5)
-		d.place(d.jobs[id], ledger.Placement{Task: 0, Try: 1, Machine: "m-1", Shift: 1})
+		d.place(d.jobs[id], ledger.Placement{Task: 0, Attempt: 1, Machine: "m-1", Session: 1})
 	}
 	refuse := statestore.Reply[protocol.TxnAnswer]{Status: http.StatusBadRequest}
 	for i, want := range []int{3, 3, 1} {
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -61,11 +61,11 @@
 	d.observe(m, r)
 	// An old report may come late. One that is only older than what a
 	// direct command's answer told is the worker's current one.
-	newest := r.Shift > m.heartbeatShift || r.Shift == m.heartbeatShift && r.Counter > m.heartbeatCounter
+	newest := r.Session > m.heartbeatSession || r.Session == m.heartbeatSession && r.Counter > m.heartbeatCounter
 	if !newest {
 		d.challenge(m)
 	}
-	if !newest || r.Shift != m.shift || m.expired || r.Epoch > d.term.Epoch {
+	if !newest || r.Session != m.session || m.expired || r.Epoch > d.term.Epoch {
 		reply(http.StatusMisdirectedRequest, protocol.Redirect{})
 		return
 	}
@@ -73,7 +73,7 @@
 		reply(http.StatusServiceUnavailable, protocol.Redirect{})
 		return
 	}
-	m.heartbeatShift, m.heartbeatCounter = r.Shift, r.Counter
+	m.heartbeatSession, m.heartbeatCounter = r.Session, r.Counter
 	for _, s := range m.sent {
 		// The worker has one report in flight: the answer to the last one
 		// was carried out or dropped by now.
@@ -106,9 +106,9 @@
 		return
 	}
 	m.challengedAt = d.now()
-	shift, counter := m.shift, m.counter
-	d.command(m, shift, []protocol.Order{}, func(_ int, answer *protocol.Report) {
-		if answer != nil && (answer.Shift < shift || answer.Shift == shift && answer.Counter <= counter) {
+	session, counter := m.session, m.counter
+	d.command(m, session, []protocol.Order{}, func(_ int, answer *protocol.Report) {
+		if answer != nil && (answer.Session < session || answer.Session == session && answer.Counter <= counter) {
 			d.release(m, "it has started over")
 		}
 	})
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -32,12 +32,12 @@
 	running      []planner.Running
 	runningSince []clock.Micros
 	runningStale bool
-	// brokenTry is a gang's try that can't be completed any more.
-	brokenTry int64
-	failures  int
-	notBefore clock.Micros
-	avoid     map[string]bool
-	restarts  map[int]restart // of a service's replicas
+	// brokenAttempt is a gang's try that can't be completed any more.
+	brokenAttempt int64
+	failures      int
+	notBefore     clock.Micros
+	avoid         map[string]bool
+	restarts      map[int]restart // of a service's replicas
 	// cancelled tells that a user was told so; the record may still be behind.
 	cancelled bool
 	// cancelledAt is when that was, or somewhat earlier. It may lie before this process
@@ -99,8 +99,8 @@
 	d.unindex(j, p)
 	d.touch(j, p.Task)
 	if !j.Done.Has(p.Task) {
-		// It is to run again, under another try than any before.
-		j.NextTry = max(j.NextTry, p.Try+1)
+		// It is to run again, under another attempt than any before.
+		j.NextAttempt = max(j.NextAttempt, p.Attempt+1)
 	}
 	d.wake()
 }
@@ -152,14 +152,14 @@
 	}
 }
 
-// thisTry is the try for tasks placed now: none of them ever had it, since the
-// next try rises above that of each task that has to run again. A gang that is to
-// be completed goes on with the try of its other tasks.
-func (j *job) thisTry() int64 {
+// currentAttempt is the attempt for tasks placed now: none of them ever had it, since the
+// next attempt rises above that of each task that has to run again. A gang that is to
+// be completed goes on with the attempt of its other tasks.
+func (j *job) currentAttempt() int64 {
 	if j.Spec.Gang() {
 		for _, p := range j.Placed {
-			return p.Try
+			return p.Attempt
 		}
 	}
-	return j.NextTry
+	return j.NextAttempt
 }
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -11,11 +11,11 @@
 	"postpoint/internal/protocol"
 )
 
-// taskRef is a try of a task.
+// taskRef is an attempt of a task.
 type taskRef struct {
-	job  string
-	task int
-	try  int64
+	job     string
+	task    int
+	attempt int64
 }
 
 // machine is one worker as it was last heard of.
@@ -26,21 +26,21 @@
 	seen bool // a report was heard in this term
 	// settled tells that every placed task stood in the last report and none of
 	// them had ended: the same report again is no news.
-	settled               bool
-	shift, counter, epoch int64
-	tasks                 map[taskRef]protocol.TaskReport
-	reported              []protocol.TaskReport // what tasks was made from
+	settled                 bool
+	session, counter, epoch int64
+	tasks                   map[taskRef]protocol.TaskReport
+	reported                []protocol.TaskReport // what tasks was made from
 	// ended counts the tasks that are only to be forgotten, since the last report with
 	// news; forgetAt is when they are at the latest.
 	ended               int
 	forgetAt            clock.Micros
 	since               map[taskRef]clock.Micros // when a task was first seen running
 	heardAt, answeredAt clock.Micros
-	shiftAt             clock.Micros // when its present shift was first heard of
+	sessionAt           clock.Micros // when its present session was first heard of
 	recallAt            clock.Micros // when the cloud takes it; 0: not announced
-	heartbeatShift      int64
+	heartbeatSession    int64
 	heartbeatCounter    int64
-	expired             bool // its lease has surely ended: only a newer shift counts
+	expired             bool // its lease has surely ended: only a newer session counts
 	// answersLost machines report, but lose one session after the other though they
 	// are answered: answers don't reach them.
 	answersLost  bool
@@ -81,7 +81,7 @@
 }
 
 // sent is what is known of a start's way to the worker: as long as one may
-// still arrive, the try must not be forgotten, or it would start again.
+// still arrive, the attempt must not be forgotten, or it would start again.
 type sent struct {
 	inCall      bool
 	inHeartbeat bool
@@ -176,7 +176,7 @@
 		if !ok {
 			return false
 		}
-		if known, there := m.tasks[taskRef{id, task, t.Try}]; !there || known.Status != t.Status {
+		if known, there := m.tasks[taskRef{id, task, t.Attempt}]; !there || known.Status != t.Status {
 			return false
 		}
 	}
@@ -187,7 +187,7 @@
 // lack is not there, and what an older leader sent can't arrive.
 func (d *Dispatch) synced(m *machine) bool { return m.seen && !m.expired && m.epoch == d.term.Epoch }
 
-// ran is how long a try has been seen running on a machine.
+// ran is how long an attempt has been seen running on a machine.
 func (d *Dispatch) ran(m *machine, ref taskRef) clock.Micros {
 	if since := m.since[ref]; since != 0 {
 		return d.now() - since
@@ -199,7 +199,7 @@
 	return slices.ContainsFunc(m.images, func(i image) bool { return i.name == name })
 }
 
-// sentOf is what is known of a try's orders.
+// sentOf is what is known of an attempt's orders.
 func (m *machine) sentOf(ref taskRef) *sent {
 	s := m.sent[ref]
 	if s == nil {
@@ -210,5 +210,5 @@
 }
 
 func compareRefs(a, b taskRef) int {
-	return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.task, b.task), cmp.Compare(a.try, b.try))
+	return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.task, b.task), cmp.Compare(a.attempt, b.attempt))
 }
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -31,7 +31,7 @@
 			m.expired = true
 			for id, tasks := range inOrder(m.placed) {
 				for _, p := range inOrder(tasks) {
-					m.shift = max(m.shift, p.Shift)
+					m.session = max(m.session, p.Session)
 					j := d.jobs[id]
 					switch {
 					case j == nil || j.reread:
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -12,10 +12,10 @@
 
 // command sends a direct command, one at a time to a machine. Its answer, if there
 // is one, is heard before the next goes out.
-func (d *Dispatch) command(m *machine, shift int64, orders []protocol.Order, done func(status int, answer *protocol.Report)) {
+func (d *Dispatch) command(m *machine, session int64, orders []protocol.Order, done func(status int, answer *protocol.Report)) {
 	m.calling, m.callAgain = true, false
 	epoch := d.term.Epoch
-	d.agent.Commands(m.addr, protocol.Commands{Epoch: epoch, Shift: shift, Orders: orders}, d.actsUntil(), func(status int, r protocol.Report) {
+	d.agent.Commands(m.addr, protocol.Commands{Epoch: epoch, Session: session, Orders: orders}, d.actsUntil(), func(status int, r protocol.Report) {
 		if d.term.Epoch != epoch || d.machines[m.name] != m {
 			return
 		}
@@ -50,21 +50,21 @@
 }
 
 // completable tells that a gang which lost tasks hasn't started, so that
-// replacements with the same try complete it. What a lost task's machine did
+// replacements with the same attempt complete it. What a lost task's machine did
 // last isn't known, but had the gang started, the others would run or have
 // ended for want of a peer by the time the loss is proven.
 func (d *Dispatch) completable(j *job) bool {
 	if !j.Spec.Gang() || len(j.Placed) == 0 || len(j.stops) > 0 {
 		return false
 	}
-	try := int64(0)
+	attempt := int64(0)
 	for _, p := range j.Placed {
 		m := d.machines[p.Machine]
-		if p.Try <= j.brokenTry || try != 0 && p.Try != try || m == nil || !d.synced(m) || !d.renewed(m) || m.recallAt != 0 {
+		if p.Attempt <= j.brokenAttempt || attempt != 0 && p.Attempt != attempt || m == nil || !d.synced(m) || !d.renewed(m) || m.recallAt != 0 {
 			return false
 		}
-		try = p.Try
-		if t, there := m.tasks[taskRef{j.Spec.ID, p.Task, p.Try}]; there && t.Status != protocol.TaskFetching && t.Status != protocol.TaskWaiting {
+		attempt = p.Attempt
+		if t, there := m.tasks[taskRef{j.Spec.ID, p.Task, p.Attempt}]; there && t.Status != protocol.TaskFetching && t.Status != protocol.TaskWaiting {
 			return false
 		}
 	}
@@ -94,10 +94,10 @@
 		}
 		for _, p := range inOrder(tasks) {
 			// Commit before act: only what the record holds.
-			if !j.committed(p) || p.Shift != m.shift || j.reread {
+			if !j.committed(p) || p.Session != m.session || j.reread {
 				continue
 			}
-			ref := taskRef{id, p.Task, p.Try}
+			ref := taskRef{id, p.Task, p.Attempt}
 			t, there := m.tasks[ref]
 			if there && t.Status == protocol.TaskExited {
 				continue
@@ -108,13 +108,13 @@
 			if !there && (st == nil || d.mayArrive(m, ref)) && due(s.startAt) {
 				// With a stop wanted, a start that may still arrive is made to
 				// arrive now: it then has no effect later.
-				orders = append(orders, protocol.Order{Verb: protocol.VerbStart, Task: name, Try: p.Try})
+				orders = append(orders, protocol.Order{Verb: protocol.VerbStart, Task: name, Attempt: p.Attempt})
 				s.startAt = now
 				s.inHeartbeat = s.inHeartbeat || heartbeat
 				s.inCall = s.inCall || !heartbeat
 			}
 			if st != nil && (there || d.mayArrive(m, ref)) && due(s.killAt) {
-				orders = append(orders, protocol.Order{Verb: protocol.VerbStop, Task: name, Try: p.Try, GraceS: st.grace})
+				orders = append(orders, protocol.Order{Verb: protocol.VerbStop, Task: name, Attempt: p.Attempt, GraceS: st.grace})
 				s.killAt = now
 			}
 		}
@@ -133,7 +133,7 @@
 		if d.unreadable[ref.job] || j != nil && j.over() && t.Status != protocol.TaskExited {
 			continue
 		}
-		if p, ok := m.placed[ref.job][ref.task]; !ok || p.Try != ref.try {
+		if p, ok := m.placed[ref.job][ref.task]; !ok || p.Attempt != ref.attempt {
 			loose = append(loose, ref)
 		}
 	}
@@ -145,13 +145,13 @@
 		name := protocol.TaskName(ref.job, ref.task)
 		if t.Status != protocol.TaskExited {
 			// No record has it: whatever it is, nobody needs it.
-			orders = append(orders, protocol.Order{Verb: protocol.VerbStop, Task: name, Try: ref.try})
+			orders = append(orders, protocol.Order{Verb: protocol.VerbStop, Task: name, Attempt: ref.attempt})
 			continue
 		}
 		m.ended++
 		if heartbeat && (j == nil || j.recorded(ref.task)) && !d.mayArrive(m, ref) && !d.mayRepeat(m, ref, t) {
-			// The outcome is durable and no start can bring the try back.
-			forgets = append(forgets, protocol.Order{Verb: protocol.VerbForget, Task: name, Try: ref.try})
+			// The outcome is durable and no start can bring the attempt back.
+			forgets = append(forgets, protocol.Order{Verb: protocol.VerbForget, Task: name, Attempt: ref.attempt})
 		}
 	}
 	if !heartbeat || m.ended == 0 {
@@ -207,20 +207,20 @@
 	if len(orders) == 0 && (!leads || d.synced(m) || m.syncedAt != 0 && d.now() < m.syncedAt+remindTime) {
 		return
 	}
-	shift := m.shift
+	session := m.session
 	if !m.seen {
-		shift = 1 // a wrong guess is answered with the report all the same
+		session = 1 // a wrong guess is answered with the report all the same
 	}
 	if !d.synced(m) {
 		m.syncedAt = d.now()
 	}
-	d.command(m, shift, orders, func(status int, _ *protocol.Report) {
+	d.command(m, session, orders, func(status int, _ *protocol.Report) {
 		for _, o := range orders {
 			if o.Verb != protocol.VerbStart {
 				continue
 			}
 			id, task, _ := protocol.ParseTask(o.Task)
-			if s := m.sent[taskRef{id, task, o.Try}]; s != nil {
+			if s := m.sent[taskRef{id, task, o.Attempt}]; s != nil {
 				s.inCall = false
 				// 409, 400 and what never left execute nothing; silence can mean a
 				// late arrival.
--- a/internal/dispatch/orders_test.go
+++ b/internal/dispatch/orders_test.go
@@ -49,10 +49,10 @@
 		"a task has gone":       func(_ *Dispatch, _ *job, r *protocol.Report) { r.Tasks = r.Tasks[1:] },
 		"a task isn't in place": func(d *Dispatch, j *job, _ *protocol.Report) { d.unplace(j, j.Placed[5]) },
 		"a task has been added": func(_ *Dispatch, _ *job, r *protocol.Report) {
-			r.Tasks = append(slices.Clone(r.Tasks), protocol.TaskReport{Task: "job-2/0", Try: 1, Status: protocol.TaskRunning})
+			r.Tasks = append(slices.Clone(r.Tasks), protocol.TaskReport{Task: "job-2/0", Attempt: 1, Status: protocol.TaskRunning})
 		},
 		"a gang is incomplete": func(_ *Dispatch, j *job, _ *protocol.Report) {
-			j.Spec.Shape, j.Spec.Tasks, j.brokenTry = protocol.ShapeGang, 9, 1
+			j.Spec.Shape, j.Spec.Tasks, j.brokenAttempt = protocol.ShapeGang, 9, 1
 		},
 	} {
 		d, j, r := eightRunning()
@@ -130,7 +130,7 @@
 	r.Tasks[0].Status, r.Tasks[0].Cause = protocol.TaskExited, protocol.CauseDone
 	beat()
 	j.durable = j.changed
-	r.Tasks = append(slices.Clone(r.Tasks[1:]), protocol.TaskReport{Task: "job-2/0", Try: 1, Status: protocol.TaskRunning})
+	r.Tasks = append(slices.Clone(r.Tasks[1:]), protocol.TaskReport{Task: "job-2/0", Attempt: 1, Status: protocol.TaskRunning})
 	if orders := beat(); len(orders) != 1 || orders[0].Verb != protocol.VerbStop || orders[0].Task != "job-2/0" {
 		t.Errorf("ordered %v", orders)
 	}
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -10,10 +10,10 @@
 
 // observe takes a report if it is newer than what is known.
 func (d *Dispatch) observe(m *machine, r protocol.Report) {
-	if m.seen && (r.Shift < m.shift || r.Shift == m.shift && r.Counter <= m.counter) {
+	if m.seen && (r.Session < m.session || r.Session == m.session && r.Counter <= m.counter) {
 		return
 	}
-	if m.expired && r.Shift <= m.shift {
+	if m.expired && r.Session <= m.session {
 		return // sent before the lease ended, whenever it arrives
 	}
 	if r.Epoch > d.term.Epoch {
@@ -23,18 +23,18 @@
 		slog.Info("machine reports", "machine", m.name, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "tasks", len(r.Tasks))
 		m.idleSince = d.now()
 	}
-	if m.seen && r.Shift > m.shift {
-		d.sessionLost(m, r.Shift)
+	if m.seen && r.Session > m.session {
+		d.sessionLost(m, r.Session)
 	}
-	if r.Shift > m.shift {
+	if r.Session > m.session {
 		clear(m.sent)
 		clear(m.since)
 		m.expired = false
 	}
-	if !m.seen || r.Shift > m.shift {
-		m.shiftAt = d.now()
+	if !m.seen || r.Session > m.session {
+		m.sessionAt = d.now()
 	}
-	same := m.settled && r.Shift == m.shift && r.Epoch == m.epoch && m.sameTasks(r.Tasks)
+	same := m.settled && r.Session == m.session && r.Epoch == m.epoch && m.sameTasks(r.Tasks)
 	d.noteMachine(m, &r)
 	if !same {
 		m.viewStale = true
@@ -49,7 +49,7 @@
 	// commands don't looks alive and loses its tasks lease after lease.
 	answerLost := m.answeredAt != 0 && d.now() < m.answeredAt+d.set.Deployment.Workers.Lease()
 	if answerLost && !m.answersLost {
-		slog.Info("machine loses its session though it is answered", "machine", m.name, "shift", next)
+		slog.Info("machine loses its session though it is answered", "machine", m.name, "session", next)
 	} else if answerLost {
 		d.release(m, "answers don't reach it")
 	}
@@ -60,9 +60,9 @@
 func (d *Dispatch) noteMachine(m *machine, r *protocol.Report) {
 	m.seen = true
 	m.addr, m.typ, m.zone, m.spot = r.Address, r.Type, r.Zone, r.Spot
-	m.shift, m.counter, m.epoch = r.Shift, r.Counter, r.Epoch
+	m.session, m.counter, m.epoch = r.Session, r.Counter, r.Epoch
 	m.heardAt = d.now()
-	if w := d.set.Deployment.Workers; m.answersLost && m.heardAt > m.shiftAt+w.Lease()+leaseMargin {
+	if w := d.set.Deployment.Workers; m.answersLost && m.heardAt > m.sessionAt+w.Lease()+leaseMargin {
 		m.answersLost = false // this session has outlasted its first lease: answers arrive again
 	}
 	m.recallAt = 0
@@ -81,7 +81,7 @@
 		if !ok {
 			continue
 		}
-		m.tasks[taskRef{id, task, t.Try}] = t
+		m.tasks[taskRef{id, task, t.Attempt}] = t
 	}
 	for ref := range m.since {
 		if _, ok := m.tasks[ref]; !ok {
@@ -108,12 +108,12 @@
 			continue
 		}
 		for _, p := range inOrder(tasks) {
-			if p.Shift < m.shift {
+			if p.Session < m.session {
 				slog.Debug("place lost with the worker's lease", "job", id, "task", p.Task, "machine", m.name)
 				d.unplace(j, p)
 				continue
 			}
-			if p.Shift > m.shift {
+			if p.Session > m.session {
 				m.settled = false
 				if d.synced(m) {
 					// It was in a later session when this was placed.
@@ -121,7 +121,7 @@
 				}
 				continue
 			}
-			ref := taskRef{id, p.Task, p.Try}
+			ref := taskRef{id, p.Task, p.Attempt}
 			t, there := m.tasks[ref]
 			switch {
 			case there && t.Status == protocol.TaskExited:
@@ -138,17 +138,17 @@
 	d.wake()
 }
 
-// mayArrive tells that a start of this try may still reach the worker.
+// mayArrive tells that a start of this attempt may still reach the worker.
 func (d *Dispatch) mayArrive(m *machine, ref taskRef) bool {
 	s := m.sent[ref]
 	return s != nil && (s.inCall || s.inHeartbeat || s.uncertain)
 }
 
 // mayRepeat tells that a late copy of a start that was carried out could do
-// harm: the task is to run again, and a worker that has forgotten this try would
+// harm: the task is to run again, and a worker that has forgotten this attempt would
 // start it where nobody expects it. What was started in earlier terms is safe,
 // since workers refuse older epochs, and so is what is done, since it doesn't
-// run again. Only a machine with very many such tries takes the risk.
+// run again. Only a machine with very many such attempts takes the risk.
 func (d *Dispatch) mayRepeat(m *machine, ref taskRef, t protocol.TaskReport) bool {
 	j := d.jobs[ref.job]
 	final := t.Cause == protocol.CauseDone && (j == nil || !j.Spec.Service()) // a replica runs again after any end
@@ -165,7 +165,7 @@
 	if m.since[ref] == 0 {
 		d.imageSeen(m, j.Spec.Image, j.Spec.ImageGB)
 		if t.Status == protocol.TaskRunning {
-			j.brokenTry = max(j.brokenTry, ref.try) // a gang that runs can't be completed
+			j.brokenAttempt = max(j.brokenAttempt, ref.attempt) // a gang that runs can't be completed
 			m.since[ref] = d.now()
 			j.runningStale = true
 			j.failures = 0
@@ -192,13 +192,13 @@
 	m.images = images
 }
 
-// exited handles the end of a placed try.
+// exited handles the end of a placed attempt.
 func (d *Dispatch) exited(m *machine, j *job, p ledger.Placement, t protocol.TaskReport) {
 	id := j.Spec.ID
-	ref := taskRef{id, p.Task, p.Try}
+	ref := taskRef{id, p.Task, p.Attempt}
 	ran := d.ran(m, ref)
 	if debugging() {
-		slog.Debug("task exited", "job", id, "task", p.Task, "try", p.Try, "machine", m.name, "cause", t.Cause, "ran_s", ran.Seconds())
+		slog.Debug("task exited", "job", id, "task", p.Task, "attempt", p.Attempt, "machine", m.name, "cause", t.Cause, "ran_s", ran.Seconds())
 	}
 	if t.Cause == protocol.CauseDone && !j.Final() && !j.Spec.Service() {
 		if j.Spec.Gang() {
@@ -219,7 +219,7 @@
 	}
 	switch t.Cause {
 	case protocol.CauseDone, protocol.CauseStopped, protocol.CausePeers, protocol.CauseAlone:
-		j.brokenTry = max(j.brokenTry, p.Try)
+		j.brokenAttempt = max(j.brokenAttempt, p.Attempt)
 	}
 	switch t.Cause {
 	case protocol.CauseDone:
--- a/internal/dispatch/reconcile_test.go
+++ b/internal/dispatch/reconcile_test.go
@@ -12,8 +12,8 @@
 // it arrives.
 func TestOldReportsAreIgnored(t *testing.T) {
 	d, j, m, _ := one(t)
-	d.observe(m, report(1, 9, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskRunning}))
-	d.observe(m, report(1, 4, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskExited, Cause: protocol.CauseError}))
+	d.observe(m, report(1, 9, protocol.TaskReport{Task: "job-1/0", Attempt: 1, Status: protocol.TaskRunning}))
+	d.observe(m, report(1, 4, protocol.TaskReport{Task: "job-1/0", Attempt: 1, Status: protocol.TaskExited, Cause: protocol.CauseError}))
 	if len(j.Placed) != 1 || m.counter != 9 {
 		t.Fatalf("placed %v after an old report", j.Placed)
 	}
@@ -52,7 +52,7 @@
 // somewhere, don't bring it back; the next session does.
 func TestExpiredSessionsDontComeBack(t *testing.T) {
 	d, j, m, box := one(t)
-	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskRunning}))
+	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Attempt: 1, Status: protocol.TaskRunning}))
 	box.Now += 60 * clock.Second
 	d.expire()
 	if !m.expired || len(j.Placed) != 0 {
@@ -73,7 +73,7 @@
 func TestASessionBeginsWithALease(t *testing.T) {
 	d, j, m, box := one(t)
 	box.Now += 60 * clock.Second
-	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskRunning}))
+	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Attempt: 1, Status: protocol.TaskRunning}))
 	d.expire()
 	if m.expired || len(j.Placed) != 1 {
 		t.Fatal("the lease it began with was not counted")
@@ -119,8 +119,8 @@
 	d.roster = nil
 	j.reread = true
 	d.adopt(ledger.Key("job-1"), old, 6)
-	if len(j.Placed) != 0 || j.NextTry < 2 {
-		t.Fatalf("placed %v, next try %d", j.Placed, j.NextTry)
+	if len(j.Placed) != 0 || j.NextAttempt < 2 {
+		t.Fatalf("placed %v, next try %d", j.Placed, j.NextAttempt)
 	}
 	// What is still heard of it is old, and brings nothing back.
 	status := 0
@@ -145,8 +145,8 @@
 	d, _, m, box := one(t)
 	d.types["t"] = protocol.MachineType{Name: "t", Cpus: 8}
 	usable := func() bool { _, ok := d.planned(m, box.Now); return ok }
-	say := func(shift, counter int64) {
-		r := report(shift, counter)
+	say := func(session, counter int64) {
+		r := report(session, counter)
 		r.Type = "t"
 		d.Heartbeat(r, func(int, any) {})
 	}
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -203,7 +203,7 @@
 func (d *Dispatch) adoptWhole(j *job, content *ledger.Job, version int64) {
 	if content.Truncated {
 		// What is known of the tasks is all there is.
-		content.Placed, content.NextTry = maps.Clone(j.Placed), j.NextTry
+		content.Placed, content.NextAttempt = maps.Clone(j.Placed), j.NextAttempt
 	}
 	d.unplaceAll(j)
 	d.dropParts(j)
--- a/internal/dispatch/records_test.go
+++ b/internal/dispatch/records_test.go
@@ -14,7 +14,7 @@
 func TestLateReadsDontBringPlacesBack(t *testing.T) {
 	d, j, m, _ := one(t)
 	old := j.Encode()
-	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskExited, Cause: protocol.CauseStopped}))
+	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Attempt: 1, Status: protocol.TaskExited, Cause: protocol.CauseStopped}))
 	d.adopt(ledger.Key("job-1"), j.Encode(), 6)
 	j.reread = true
 	d.adopt(ledger.Key("job-1"), old, 5)
@@ -28,7 +28,7 @@
 func TestOldEventsDontBringJobsBack(t *testing.T) {
 	d, j, m, _ := one(t)
 	old := j.Encode()
-	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskExited, Cause: protocol.CauseDone}))
+	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Attempt: 1, Status: protocol.TaskExited, Cause: protocol.CauseDone}))
 	j.inFlight = true
 	d.committed([]write{{j: j, v: &j.storedValue, part: head, changed: j.changed}}, statestore.Reply[protocol.TxnAnswer]{Status: 200, Value: protocol.TxnAnswer{Revision: 6}})
 	if len(d.jobs) != 0 {
@@ -60,7 +60,7 @@
 	content := ledger.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeArray, Tasks: 2}, 1)
 	d.adopt(ledger.Key("job-1"), content.Encode(), 5)
 	j := d.jobs["job-1"]
-	d.place(j, ledger.Placement{Task: 0, Try: 1, Machine: "m-1", Shift: 1})
+	d.place(j, ledger.Placement{Task: 0, Attempt: 1, Machine: "m-1", Session: 1})
 	d.commit()
 	store.answer(statestore.Reply[protocol.TxnAnswer]{})
 	if len(j.Placed) != 1 || j.reread || j.committed(j.Placed[0]) {
@@ -82,7 +82,7 @@
 // final, whatever becomes of the change: the job's tasks needn't wait for its answer.
 func TestCancellationsDontWaitForChanges(t *testing.T) {
 	d, j, m, box := one(t)
-	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskRunning}))
+	d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Attempt: 1, Status: protocol.TaskRunning}))
 	j.inFlight = true
 	cancelled := *j.Job
 	cancelled.Status, cancelled.CancelledAt = protocol.StatusCancelled, int64(box.Now)
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -65,7 +65,7 @@
 			slog.Debug("placing task", "job", p.Job, "class", j.Spec.Class, "task", p.Task, "machine", m.name, "type", m.typ,
 				"image_there", m.hasImage(j.Spec.Image), "since_submission_s", (d.mailbox.OfDay() - clock.Micros(j.SubmittedAt)).Seconds())
 		}
-		d.place(j, ledger.Placement{Task: p.Task, Try: j.thisTry(), Machine: m.name, Shift: m.shift})
+		d.place(j, ledger.Placement{Task: p.Task, Attempt: j.currentAttempt(), Machine: m.name, Session: m.session})
 	}
 }
 
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -143,7 +143,7 @@
 		case m.probedAt <= m.heardAt || m.probedAt == 0:
 			m.probedAt = now
 			if !m.calling && m.addr != "" {
-				d.command(m, m.shift, []protocol.Order{}, func(int, *protocol.Report) {})
+				d.command(m, m.session, []protocol.Order{}, func(int, *protocol.Report) {})
 			}
 		case now > m.probedAt+probeTime:
 			slog.Info("machine with replicas is silent", "machine", m.name, "silent_s", (now - m.heardAt).Seconds())
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -13,20 +13,20 @@
 	t.Helper()
 	d, _ := leader()
 	content := ledger.New(protocol.JobSpec{ID: "job-1", Class: "portal", Shape: protocol.ShapeService, Rank: "prod", Tasks: 3}, 1)
-	content.Placed[0] = ledger.Placement{Task: 0, Try: 1, Machine: "m-1", Shift: 1}
+	content.Placed[0] = ledger.Placement{Task: 0, Attempt: 1, Machine: "m-1", Session: 1}
 	d.adopt(ledger.Key("job-1"), content.Encode(), 5)
-	d.observe(d.machines["m-1"], report(1, 1, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskRunning}))
+	d.observe(d.machines["m-1"], report(1, 1, protocol.TaskReport{Task: "job-1/0", Attempt: 1, Status: protocol.TaskRunning}))
 	return d, d.jobs["job-1"], d.machines["m-1"]
 }
 
-// Whatever a replica ends with, it is to run again under another try, and the service
+// Whatever a replica ends with, it is to run again under another attempt, and the service
 // isn't done; its machine isn't set aside for it.
 func TestReplicasRunAgainWhateverTheirEnd(t *testing.T) {
 	for _, cause := range []string{protocol.CauseDone, protocol.CauseError, protocol.CausePeers, protocol.CauseStopped, "unheard of"} {
 		d, j, m := service(t)
-		d.observe(m, report(1, 2, protocol.TaskReport{Task: "job-1/0", Try: 1, Status: protocol.TaskExited, Cause: cause}))
-		if j.Final() || j.Done.Len() > 0 || len(j.Placed) > 0 || j.NextTry < 2 {
-			t.Errorf("%s: final %v, done %v, placed %v, next try %d", cause, j.Final(), j.Done.String(), j.Placed, j.NextTry)
+		d.observe(m, report(1, 2, protocol.TaskReport{Task: "job-1/0", Attempt: 1, Status: protocol.TaskExited, Cause: cause}))
+		if j.Final() || j.Done.Len() > 0 || len(j.Placed) > 0 || j.NextAttempt < 2 {
+			t.Errorf("%s: final %v, done %v, placed %v, next try %d", cause, j.Final(), j.Done.String(), j.Placed, j.NextAttempt)
 		}
 		pending := j.restartable(j.Startable(8<<10, 10), d.now())
 		if len(pending) != 3 {
@@ -42,7 +42,7 @@
 // alone: the others start at once. A good run lets it start at once again.
 func TestReplicaThatEndsAtOnceBacksOff(t *testing.T) {
 	d, j, m := service(t)
-	p := ledger.Placement{Task: 0, Try: 1, Machine: "m-1", Shift: 1}
+	p := ledger.Placement{Task: 0, Attempt: 1, Machine: "m-1", Session: 1}
 	end := func(ran clock.Micros) clock.Micros {
 		d.replicaEnded(m, j, p, protocol.CauseError, ran)
 		return j.restarts[0].until - d.now()
@@ -96,8 +96,8 @@
 	})
 	d.adopt(ledger.Key("job-1"), raw, 5)
 	j := d.jobs["job-1"]
-	if j.Done.Len() != 0 || j.PendingCount() != 2 || j.NextTry != 4 {
-		t.Fatalf("done %v, pending %d, next try %d", j.Done.String(), j.PendingCount(), j.NextTry)
+	if j.Done.Len() != 0 || j.PendingCount() != 2 || j.NextAttempt != 4 {
+		t.Fatalf("done %v, pending %d, next try %d", j.Done.String(), j.PendingCount(), j.NextAttempt)
 	}
 }
 
@@ -120,7 +120,7 @@
 func TestReplicasMoveOneAtATime(t *testing.T) {
 	d, j, m := service(t)
 	for task := 1; task < 3; task++ {
-		d.place(j, ledger.Placement{Task: task, Try: 1, Machine: "m-1", Shift: 1})
+		d.place(j, ledger.Placement{Task: task, Attempt: 1, Machine: "m-1", Session: 1})
 	}
 	m.addr = "" // nothing is sent
 	m.recallAt = d.now() + 20*clock.Second
@@ -134,7 +134,7 @@
 	if len(j.stops) != 0 {
 		t.Fatal("the next is stopped before the first is placed again")
 	}
-	d.place(j, ledger.Placement{Task: 0, Try: 2, Machine: "m-2", Shift: 1})
+	d.place(j, ledger.Placement{Task: 0, Attempt: 2, Machine: "m-2", Session: 1})
 	d.drain()
 	if len(j.stops) != 1 {
 		t.Fatal("the next isn't stopped")
@@ -185,7 +185,7 @@
 		d, box := leader()
 		content := ledger.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeService, Rank: "prod", Tasks: 4}, 1)
 		for task := range 4 {
-			content.Placed[task] = ledger.Placement{Task: task, Try: 1, Machine: "m-" + string(rune('1'+task)), Shift: 1}
+			content.Placed[task] = ledger.Placement{Task: task, Attempt: 1, Machine: "m-" + string(rune('1'+task)), Session: 1}
 		}
 		d.adopt(ledger.Key("job-1"), content.Encode(), 5)
 		for i := range others {
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -130,8 +130,8 @@
 }
 
 // leftOn adds to the machines that a gang avoids those that still report an
-// ended task of the try that it may be completed with: a start of the same
-// task and try has no effect there.
+// ended task of the attempt that it may be completed with: a start of the same
+// task and attempt has no effect there.
 func (d *Dispatch) leftOn(j *job) map[string]bool {
 	if len(j.Placed) == 0 {
 		return j.avoid
@@ -162,7 +162,7 @@
 			since := clock.Micros(0)
 			if m := d.machines[p.Machine]; m != nil {
 				r.Zone = m.zone
-				since = m.since[taskRef{j.Spec.ID, task, p.Try}]
+				since = m.since[taskRef{j.Spec.ID, task, p.Attempt}]
 			}
 			j.running, j.runningSince = append(j.running, r), append(j.runningSince, since)
 		}
--- a/internal/intake/admission_test.go
+++ b/internal/intake/admission_test.go
@@ -81,7 +81,7 @@
 	spec.Shape, spec.Tasks = protocol.ShapeArray, 400
 	j := ledger.New(spec, 1)
 	for task := range spec.Tasks {
-		j.Placed[task] = ledger.Placement{Task: task, Try: 1, Machine: fmt.Sprintf("m-%06d", task), Shift: 1}
+		j.Placed[task] = ledger.Placement{Task: task, Attempt: 1, Machine: fmt.Sprintf("m-%06d", task), Session: 1}
 	}
 	store := &tight{record: j.Encode()}
 	in := New(&actortest.Still{Now: clock.Second}, store, &settings.Settings{}, nil)
--- a/internal/intake/connections_test.go
+++ b/internal/intake/connections_test.go
@@ -95,7 +95,7 @@
 	}
 	for round := range rounds {
 		for i, client := range clients {
-			report := protocol.Encode(protocol.Report{Machine: fmt.Sprint("m-", i), Address: "a:1", Shift: 1})
+			report := protocol.Encode(protocol.Report{Machine: fmt.Sprint("m-", i), Address: "a:1", Session: 1})
 			if status, err := ask(client, "POST", "/agent/beat", report); err != nil || status != http.StatusOK {
 				t.Fatalf("round %d, worker %d: %d, %v", round, i, status, err)
 			}
--- a/internal/intake/persistent_test.go
+++ b/internal/intake/persistent_test.go
@@ -71,7 +71,7 @@
 	plain := httptest.NewServer(Handler(in, crowd{}))
 	defer plain.Close()
 	report := func(counter int64) []byte {
-		return protocol.Encode(protocol.Report{Machine: "m-1", Address: "a:1", Shift: 1, Counter: counter})
+		return protocol.Encode(protocol.Report{Machine: "m-1", Address: "a:1", Session: 1, Counter: counter})
 	}
 	chunked := fmt.Sprintf("POST /agent/beat HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(report(9)), report(9))
 	for name, requests := range map[string][]string{
@@ -112,7 +112,7 @@
 			t.Fatal(err)
 		}
 		defer conn.Close()
-		first := request("POST", "/agent/beat", "", protocol.Encode(protocol.Report{Machine: "m-1", Address: "a:1", Shift: 1}))
+		first := request("POST", "/agent/beat", "", protocol.Encode(protocol.Report{Machine: "m-1", Address: "a:1", Session: 1}))
 		reader := bufio.NewReader(conn)
 		both := exchange(conn, reader, first+request("GET", "/api/jobs/job-000001", "", nil))
 		_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
@@ -126,7 +126,7 @@
 // Bodies and headers without end are cut off, and so is a request that trickles in.
 func TestTakenOverConnectionsAreBounded(t *testing.T) {
 	_, c := reportServer(t, 6)
-	first := request("POST", "/agent/beat", "", protocol.Encode(protocol.Report{Machine: "m-1", Address: "a:1", Shift: 1}))
+	first := request("POST", "/agent/beat", "", protocol.Encode(protocol.Report{Machine: "m-1", Address: "a:1", Session: 1}))
 	for name, next := range map[string]string{
 		"body":   "POST /agent/beat HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1000\r\n"+strings.Repeat("a", 4096)+"\r\n", 100),
 		"header": "POST /agent/beat HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("a", 2*maxRequest),
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -136,7 +136,7 @@
 func validReport(r *protocol.Report) bool {
 	// Names stand in records between spaces.
 	return r.Machine != "" && !strings.ContainsFunc(r.Machine, unicode.IsSpace) && len(r.Machine) <= protocol.MaxText &&
-		r.Address != "" && r.Shift > 0
+		r.Address != "" && r.Session > 0
 }
 
 // readBody refuses what is over the limit without reading further.
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -98,7 +98,7 @@
 	}
 	good := protocol.Encode(submission())
 	report := func(name string) []byte {
-		return protocol.Encode(protocol.Report{Machine: name, Address: "a:1", Shift: 1})
+		return protocol.Encode(protocol.Report{Machine: name, Address: "a:1", Session: 1})
 	}
 	for _, c := range []struct {
 		method, path string
--- a/internal/ledger/fixtures_test.go
+++ b/internal/ledger/fixtures_test.go
@@ -19,7 +19,7 @@
 		6a6f622d303030303032a56361757365b16572726f72206f6e206d2d303030303031`, Job{
 		Spec: protocol.JobSpec{ID: "job-000001", Class: "extrase", Team: "evaluare", Shape: "batch", Rank: "normal", Tasks: 9,
 			Cpus: 1.5, MemoryGB: 2, Image: "img-1", ImageGB: 1, Spot: true, EstimateS: 40, DeadlineS: &due},
-		SubmittedAt: 1764668400000000, NextTry: 3, Lenders: []string{"job-000002"}, Cause: "error on m-000001",
+		SubmittedAt: 1764668400000000, NextAttempt: 3, Lenders: []string{"job-000002"}, Cause: "error on m-000001",
 		Done: Ranges{spans: []span{{0, 1}, {4, 4}}, count: 3},
 		Placed: map[int]Placement{
 			2: {2, 2, "m-000001", 1}, 3: {3, 2, "m-000001", 1}, 8: {8, 1, "m-000007", 4},
@@ -36,7 +36,7 @@
 		Spec: protocol.JobSpec{ID: "job-000002", Class: "tariffa", Team: "percorsi", Shape: "ensemble", Rank: "urgent", Tasks: 2,
 			Cpus: 60, MemoryGB: 200, Image: "img-2", ImageGB: 2.5, Types: []string{"aquila"}, Zone: "torino", OneZone: true,
 			EstimateS: 80, CheckpointS: 45, SaveS: 6},
-		Status: "aborted", SubmittedAt: 1764668400000000, CancelledAt: 1764668460000000, NextTry: 2,
+		Status: "aborted", SubmittedAt: 1764668400000000, CancelledAt: 1764668460000000, NextAttempt: 2,
 		Placed: map[int]Placement{0: {0, 1, "m-000003", 1}, 1: {1, 1, "m-000004", 1}},
 	}},
 	// That version notes the end of a replica as the end of a task, which it isn't.
@@ -49,7 +49,7 @@
 		ae6d2d303030303035203120312031`, Job{
 		Spec: protocol.JobSpec{ID: "job-000003", Class: "portal", Team: "evaluare", Shape: "daemon", Rank: "prod", Tasks: 2,
 			Cpus: 1, MemoryGB: 1.6, Image: "img-3", ImageGB: 2, Spread: true},
-		SubmittedAt: 1764668400000000, NextTry: 2,
+		SubmittedAt: 1764668400000000, NextAttempt: 2,
 		Placed: map[int]Placement{1: {1, 1, "m-000005", 1}},
 	}},
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -80,8 +80,8 @@
 		case 0:
 			j.Done.Add(task)
 		case 1:
-			j.Placed[task] = Placement{Task: task, Try: int64(rapid.IntRange(1, 3).Draw(t, "try")),
-				Machine: rapid.SampledFrom([]string{"m-000001", "m-000002"}).Draw(t, "machine"), Shift: 1}
+			j.Placed[task] = Placement{Task: task, Attempt: int64(rapid.IntRange(1, 3).Draw(t, "try")),
+				Machine: rapid.SampledFrom([]string{"m-000001", "m-000002"}).Draw(t, "machine"), Session: 1}
 		}
 	}
 	j.Lenders = []string{"job-2"}
@@ -116,7 +116,7 @@
 	for range 200 {
 		tasks := j.Pending(j.Room(limit))
 		for i, task := range tasks {
-			j.Placed[task] = Placement{Task: task, Try: int64(100_000 + i), Machine: "m-1" + string(rune('a'+i%26)) + "23456", Shift: 123}
+			j.Placed[task] = Placement{Task: task, Attempt: int64(100_000 + i), Machine: "m-1" + string(rune('a'+i%26)) + "23456", Session: 123}
 		}
 		if size := jsonSize(t, j); size > limit {
 			t.Fatalf("%d bytes with %d placed and %d done", size, len(j.Placed), j.Done.Len())
@@ -160,7 +160,7 @@
 	for range 6 {
 		for _, task := range j.Pending(j.Room(limit)) {
 			// As plans deal them out: neighbours on different machines.
-			j.Placed[task] = Placement{Task: task, Try: 1, Machine: fmt.Sprintf("m-%06d", task%250), Shift: 1}
+			j.Placed[task] = Placement{Task: task, Attempt: 1, Machine: fmt.Sprintf("m-%06d", task%250), Session: 1}
 		}
 	}
 	return j
@@ -203,7 +203,7 @@
 func BenchmarkEncode(b *testing.B) {
 	j := New(protocol.JobSpec{ID: "job-000001", Tasks: 248}, 1)
 	for task := range 248 {
-		j.Placed[task] = Placement{Task: task, Try: 3, Machine: "m-00000" + string(rune('0'+task%10)), Shift: 1}
+		j.Placed[task] = Placement{Task: task, Attempt: 3, Machine: "m-00000" + string(rune('0'+task%10)), Session: 1}
 	}
 	for b.Loop() {
 		if _, err := Decode(j.Encode()); err != nil {
--- a/internal/ledger/parts.go
+++ b/internal/ledger/parts.go
@@ -96,12 +96,12 @@
 // partRecord is the stored form of a part. Tasks are counted from its first one.
 type partRecord struct {
 	// Done is a bitmap in hexadecimal digits.
-	Done    string `msgpack:"done,omitempty"`
-	NextTry int64  `msgpack:"next"`
+	Done        string `msgpack:"done,omitempty"`
+	NextAttempt int64  `msgpack:"next"`
 	// Shift and Try are those of every placement that names no others.
-	Shift  int64  `msgpack:"shift,omitempty"`
-	Try    int64  `msgpack:"try,omitempty"`
-	Placed string `msgpack:"placed,omitempty"`
+	Session int64  `msgpack:"shift,omitempty"`
+	Attempt int64  `msgpack:"try,omitempty"`
+	Placed  string `msgpack:"placed,omitempty"`
 }
 
 var errPart = errors.New("malformed part")
@@ -109,28 +109,28 @@
 // EncodePart gives the value of a part.
 func (j *Job) EncodePart(part int) []byte {
 	first, end := j.partTasks(part)
-	r := partRecord{Done: j.doneBitmap(first, end), NextTry: j.NextTry}
+	r := partRecord{Done: j.doneBitmap(first, end), NextAttempt: j.NextAttempt}
 	groups := map[place]*Ranges{}
-	counts := map[attempt]int{}
+	counts := map[attemptKey]int{}
 	for task := first; task < end; task++ {
 		p, placed := j.Placed[task]
 		if !placed {
 			continue
 		}
-		k := place{p.Machine, p.Shift, p.Try}
+		k := place{p.Machine, p.Session, p.Attempt}
 		if groups[k] == nil {
 			groups[k] = &Ranges{}
 		}
 		groups[k].Add(task - first)
-		counts[attempt{p.Shift, p.Try}]++
+		counts[attemptKey{p.Session, p.Attempt}]++
 	}
 	usual := mostCommon(counts)
-	r.Shift, r.Try = usual.shift, usual.try
+	r.Session, r.Attempt = usual.session, usual.attempt
 	texts := make([]string, 0, len(groups))
 	for k, tasks := range groups {
 		text := k.machine + " " + tasks.String()
-		if (attempt{k.shift, k.try}) != usual {
-			text += " " + strconv.FormatInt(k.shift, 10) + " " + strconv.FormatInt(k.try, 10)
+		if (attemptKey{k.session, k.attempt}) != usual {
+			text += " " + strconv.FormatInt(k.session, 10) + " " + strconv.FormatInt(k.attempt, 10)
 		}
 		texts = append(texts, text)
 	}
@@ -139,14 +139,14 @@
 	return protocol.Encode(r)
 }
 
-// attempt is what most placements of a part have in common.
-type attempt struct{ shift, try int64 }
+// attemptKey is what most placements of a part have in common.
+type attemptKey struct{ session, attempt int64 }
 
-func mostCommon(counts map[attempt]int) attempt {
-	var best attempt
+func mostCommon(counts map[attemptKey]int) attemptKey {
+	var best attemptKey
 	most := 0
 	for a, n := range counts {
-		if n > most || n == most && cmp.Or(cmp.Compare(a.shift, best.shift), cmp.Compare(a.try, best.try)) < 0 {
+		if n > most || n == most && cmp.Or(cmp.Compare(a.session, best.session), cmp.Compare(a.attempt, best.attempt)) < 0 {
 			best, most = a, n
 		}
 	}
@@ -194,7 +194,7 @@
 			j.Placed[p.Task] = p
 		}
 	}
-	j.NextTry = max(j.NextTry, r.NextTry)
+	j.NextAttempt = max(j.NextAttempt, r.NextAttempt)
 	return nil
 }
 
@@ -206,15 +206,15 @@
 	}
 	for text := range strings.SplitSeq(r.Placed, ";") {
 		fields := strings.Fields(text)
-		p := Placement{Shift: r.Shift, Try: r.Try}
+		p := Placement{Session: r.Session, Attempt: r.Attempt}
 		switch len(fields) {
 		case 2:
 		case 4:
 			var err error
-			if p.Shift, err = strconv.ParseInt(fields[2], 10, 64); err != nil {
+			if p.Session, err = strconv.ParseInt(fields[2], 10, 64); err != nil {
 				return nil, errPart
 			}
-			if p.Try, err = strconv.ParseInt(fields[3], 10, 64); err != nil {
+			if p.Attempt, err = strconv.ParseInt(fields[3], 10, 64); err != nil {
 				return nil, errPart
 			}
 		default:
@@ -262,17 +262,17 @@
 // up alone on its machine.
 func (j *Job) partBytes() []int {
 	used := make([]int, j.Parts())
-	counts := make([]map[attempt]int, len(used))
+	counts := make([]map[attemptKey]int, len(used))
 	placed := make([]int, len(used))
 	digits := len(strconv.Itoa(j.PartSize))
 	for i := range used {
 		used[i] = partOverhead + j.PartSize/4
-		counts[i] = map[attempt]int{}
+		counts[i] = map[attemptKey]int{}
 	}
 	for task, p := range j.Placed {
 		part := j.PartOf(task)
 		used[part] += len(p.Machine) + digits + 2
-		counts[part][attempt{p.Shift, p.Try}]++
+		counts[part][attemptKey{p.Session, p.Attempt}]++
 		placed[part]++
 	}
 	for i := range used {
--- a/internal/ledger/parts_test.go
+++ b/internal/ledger/parts_test.go
@@ -60,7 +60,7 @@
 		steps := rapid.IntRange(1, 8).Draw(t, "steps")
 		for step := range steps {
 			for _, task := range j.Startable(tightValue, 400) {
-				j.Placed[task] = Placement{Task: task, Try: j.NextTry, Shift: int64(rapid.SampledFrom([]int{1, 1, 1, 2, 130}).Draw(t, "shift")),
+				j.Placed[task] = Placement{Task: task, Attempt: j.NextAttempt, Session: int64(rapid.SampledFrom([]int{1, 1, 1, 2, 130}).Draw(t, "shift")),
 					Machine: fmt.Sprintf("m-%06d", rapid.IntRange(1, 300).Draw(t, "machine"))}
 			}
 			check := func() {
@@ -82,7 +82,7 @@
 					j.Done.Add(task)
 				case 3 - done:
 					delete(j.Placed, task)
-					j.NextTry = max(j.NextTry, p.Try+1)
+					j.NextAttempt = max(j.NextAttempt, p.Attempt+1)
 				}
 			}
 			check()
@@ -105,7 +105,7 @@
 	j.PartSize = PartSizeFor(&array, tightValue)
 	for range 6 {
 		for i, task := range j.Startable(tightValue, 2000) {
-			j.Placed[task] = Placement{Task: task, Try: 1, Machine: fmt.Sprintf("m-%06d", i%250), Shift: 1}
+			j.Placed[task] = Placement{Task: task, Attempt: 1, Machine: fmt.Sprintf("m-%06d", i%250), Session: 1}
 		}
 	}
 	if len(j.Placed) != 2000 {
@@ -176,7 +176,7 @@
 	j := New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeArray, Tasks: 200}, 1)
 	j.PartSize = 50
 	j.Done.Add(3)
-	j.Placed[7] = Placement{Task: 7, Try: 2, Machine: "m-000001", Shift: 1}
+	j.Placed[7] = Placement{Task: 7, Attempt: 2, Machine: "m-000001", Session: 1}
 	f.Add(j.EncodePart(0))
 	f.Add(protocol.Encode(partRecord{Done: "ffffffffffffffffffffff", Placed: "m 1"}))
 	f.Add(protocol.Encode(partRecord{Placed: "m 0-99999999"}))
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -20,12 +20,12 @@
 func Key(job string) string { return Prefix + job }
 
 // Placement is a task's place. It stays in the record until it is proven that
-// this try no longer is, and never again can be, on that machine.
+// this attempt no longer is, and never again can be, on that machine.
 type Placement struct {
 	Task    int
-	Try     int64
+	Attempt int64
 	Machine string
-	Shift   int64
+	Session int64
 }
 
 // Job is the content of a record.
@@ -35,7 +35,7 @@
 	SubmittedAt int64  // time of day in microseconds, by the accepting node
 	CancelledAt int64  // likewise, by the cancelling node before its user is told
 	Done        Ranges
-	NextTry     int64
+	NextAttempt int64
 	Placed      map[int]Placement
 	Lenders     []string // jobs that made room for this one and are owed it
 	Cause       string   // why the last failed start failed
@@ -58,7 +58,7 @@
 	SubmittedAt int64            `msgpack:"at"`
 	CancelledAt int64            `msgpack:"cancelled,omitempty"`
 	Done        string           `msgpack:"done,omitempty"`
-	NextTry     int64            `msgpack:"try"`
+	NextAttempt int64            `msgpack:"try"`
 	Placed      []string         `msgpack:"placed,omitempty"`
 	Lenders     []string         `msgpack:"lenders,omitempty"`
 	Cause       string           `msgpack:"cause,omitempty"`
@@ -73,22 +73,22 @@
 
 // New is the record of a job just accepted.
 func New(spec protocol.JobSpec, at int64) *Job {
-	return &Job{Spec: spec, SubmittedAt: at, NextTry: 1, Placed: map[int]Placement{}}
+	return &Job{Spec: spec, SubmittedAt: at, NextAttempt: 1, Placed: map[int]Placement{}}
 }
 
 // Final tells that nothing may start any more.
 func (j *Job) Final() bool { return j.Status != "" }
 
 type place struct {
-	machine    string
-	shift, try int64
+	machine          string
+	session, attempt int64
 }
 
 // Encode gives the value to store at the job's key: the whole record, or the head of a
 // divided one.
 func (j *Job) Encode() []byte {
 	r := record{Spec: j.Spec, Status: j.Status, SubmittedAt: j.SubmittedAt, CancelledAt: j.CancelledAt,
-		NextTry: j.NextTry, Lenders: j.Lenders, Cause: j.Cause, Truncated: j.Truncated}
+		NextAttempt: j.NextAttempt, Lenders: j.Lenders, Cause: j.Cause, Truncated: j.Truncated}
 	if j.Marked && j.Spec.Service() {
 		r.Placed = append(r.Placed, markService)
 	}
@@ -126,13 +126,13 @@
 	}
 }
 
-// places are the texts of the placements: one for all tasks with the same try on
+// places are the texts of the placements: one for all tasks with the same attempt on
 // a machine.
 func (j *Job) places() []string {
 	groups := make(map[place]*Ranges, len(j.Placed)/4)
 	for _, task := range slices.Sorted(maps.Keys(j.Placed)) { // in order, sets grow at their ends
 		p := j.Placed[task]
-		k := place{p.Machine, p.Shift, p.Try}
+		k := place{p.Machine, p.Session, p.Attempt}
 		if groups[k] == nil {
 			groups[k] = &Ranges{}
 		}
@@ -140,7 +140,7 @@
 	}
 	texts := make([]string, 0, len(groups))
 	for k, tasks := range groups {
-		texts = append(texts, k.machine+" "+strconv.FormatInt(k.shift, 10)+" "+strconv.FormatInt(k.try, 10)+" "+tasks.String())
+		texts = append(texts, k.machine+" "+strconv.FormatInt(k.session, 10)+" "+strconv.FormatInt(k.attempt, 10)+" "+tasks.String())
 	}
 	slices.Sort(texts)
 	return texts
@@ -157,7 +157,7 @@
 		return nil, err
 	}
 	j := &Job{Spec: r.Spec, Status: r.Status, SubmittedAt: r.SubmittedAt, CancelledAt: r.CancelledAt,
-		NextTry: r.NextTry, Placed: map[int]Placement{}, Lenders: r.Lenders[:min(len(r.Lenders), maxLenders)], Cause: r.Cause, Truncated: r.Truncated}
+		NextAttempt: r.NextAttempt, Placed: map[int]Placement{}, Lenders: r.Lenders[:min(len(r.Lenders), maxLenders)], Cause: r.Cause, Truncated: r.Truncated}
 	if !j.Spec.Service() {
 		j.Done = done // versions that take services for arrays note ends of their tasks
 	}
@@ -180,17 +180,17 @@
 	return j, nil
 }
 
-// parsePlacement reads "machine shift try tasks".
+// parsePlacement reads "machine session attempt tasks".
 func parsePlacement(text string) (p Placement, tasks Ranges, err error) {
 	parts := strings.Fields(text)
 	if len(parts) != 4 {
 		return p, tasks, errRanges
 	}
 	p.Machine = parts[0]
-	if p.Shift, err = strconv.ParseInt(parts[1], 10, 64); err != nil {
+	if p.Session, err = strconv.ParseInt(parts[1], 10, 64); err != nil {
 		return p, tasks, err
 	}
-	if p.Try, err = strconv.ParseInt(parts[2], 10, 64); err != nil {
+	if p.Attempt, err = strconv.ParseInt(parts[2], 10, 64); err != nil {
 		return p, tasks, err
 	}
 	tasks, err = ParseRanges(parts[3])
@@ -239,7 +239,7 @@
 func (j *Job) groups() int {
 	seen := make(map[place]bool, len(j.Placed)/4)
 	for _, p := range j.Placed {
-		seen[place{p.Machine, p.Shift, p.Try}] = true
+		seen[place{p.Machine, p.Session, p.Attempt}] = true
 	}
 	return len(seen)
 }
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -137,11 +137,11 @@
 
 // TaskReport is one task in a worker's report.
 type TaskReport struct {
-	Task   string `msgpack:"Leg"`
-	Try    int64  `msgpack:"Try"`
-	Status string `msgpack:"Status"`
-	Cause  string `msgpack:"Cause"`
-	Saved  bool   `msgpack:"Saved"`
+	Task    string `msgpack:"Leg"`
+	Attempt int64  `msgpack:"Try"`
+	Status  string `msgpack:"Status"`
+	Cause   string `msgpack:"Cause"`
+	Saved   bool   `msgpack:"Saved"`
 }
 
 // Report is what a worker says of itself.
@@ -151,7 +151,7 @@
 	Type    string       `msgpack:"Fleet"`
 	Zone    string       `msgpack:"Hall"`
 	Spot    bool         `msgpack:"Loaners"`
-	Shift   int64        `msgpack:"Shift"`
+	Session int64        `msgpack:"Shift"`
 	Counter int64        `msgpack:"Counter"`
 	Epoch   int64        `msgpack:"Epoch"`
 	RecallS *float64     `msgpack:"RecallS"`
@@ -167,10 +167,10 @@
 
 // Order is one command to a worker.
 type Order struct {
-	Verb   string  `msgpack:"Verb"`
-	Task   string  `msgpack:"Leg"`
-	Try    int64   `msgpack:"Try"`
-	GraceS float64 `msgpack:"LeaveS"`
+	Verb    string  `msgpack:"Verb"`
+	Task    string  `msgpack:"Leg"`
+	Attempt int64   `msgpack:"Try"`
+	GraceS  float64 `msgpack:"LeaveS"`
 }
 
 // HeartbeatAnswer answers a worker's report.
@@ -186,9 +186,9 @@
 
 // Commands goes directly to a worker.
 type Commands struct {
-	Epoch  int64   `msgpack:"Epoch"`
-	Shift  int64   `msgpack:"Shift"`
-	Orders []Order `msgpack:"Orders"`
+	Epoch   int64   `msgpack:"Epoch"`
+	Session int64   `msgpack:"Shift"`
+	Orders  []Order `msgpack:"Orders"`
 }
 
 // TaskName is the wire name of one task.
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -10,7 +10,7 @@
 	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
 	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff, 0x01})
 	f.Add([]byte{0xdb, 0xff, 0xff, 0xff, 0xff})
-	f.Add(Encode(Report{Machine: "m-1", Tasks: []TaskReport{{Task: "job-1/0", Try: 1}}}))
+	f.Add(Encode(Report{Machine: "m-1", Tasks: []TaskReport{{Task: "job-1/0", Attempt: 1}}}))
 	f.Add(Encode(MachineList{Machines: []ListedMachine{{Name: "m", AgeS: 1.5}}}))
 	f.Add(Encode(Txn{Guards: []Guard{{"a", 1}}, Changes: []Change{{Put: "a", Value: []byte{0xc0}}}}))
 	f.Fuzz(func(t *testing.T, raw []byte) {
@@ -48,9 +48,9 @@
 
 // BenchmarkDecodeReport is what every report costs before it is looked at.
 func BenchmarkDecodeReport(b *testing.B) {
-	r := Report{Machine: "m-000231", Address: "10.1.0.232:9000", Type: "g8", Zone: "a", Shift: 1, Counter: 88, Epoch: 41}
+	r := Report{Machine: "m-000231", Address: "10.1.0.232:9000", Type: "g8", Zone: "a", Session: 1, Counter: 88, Epoch: 41}
 	for task := range 8 {
-		r.Tasks = append(r.Tasks, TaskReport{Task: TaskName("job-000412", task), Try: 2, Status: TaskRunning})
+		r.Tasks = append(r.Tasks, TaskReport{Task: TaskName("job-000412", task), Attempt: 2, Status: TaskRunning})
 	}
 	raw := Encode(r)
 	for b.Loop() {
--- a/internal/protocol/reportdecoder_test.go
+++ b/internal/protocol/reportdecoder_test.go
@@ -11,9 +11,9 @@
 )
 
 func sampleReport(tasks int) Report {
-	r := Report{Machine: "m-000001", Address: "10.1.0.1:9000", Type: "t", Zone: "a", Shift: 1, Counter: 1, Epoch: 3}
+	r := Report{Machine: "m-000001", Address: "10.1.0.1:9000", Type: "t", Zone: "a", Session: 1, Counter: 1, Epoch: 3}
 	for i := range tasks {
-		r.Tasks = append(r.Tasks, TaskReport{Task: TaskName("job-000001", i), Try: 1, Status: TaskRunning})
+		r.Tasks = append(r.Tasks, TaskReport{Task: TaskName("job-000001", i), Attempt: 1, Status: TaskRunning})
 	}
 	return r
 }
@@ -66,7 +66,7 @@
 		at := r.IntN(len(tasks) + 1)
 		switch {
 		case r.IntN(3) == 0:
-			tasks = slices.Insert(tasks, at, TaskReport{Task: TaskName("job-000002", r.IntN(9)), Try: 2, Status: TaskFetching})
+			tasks = slices.Insert(tasks, at, TaskReport{Task: TaskName("job-000002", r.IntN(9)), Attempt: 2, Status: TaskFetching})
 		case at == len(tasks):
 		case r.IntN(2) == 0:
 			tasks = slices.Delete(tasks, at, at+1)
--- a/internal/testkit/deployment.go
+++ b/internal/testkit/deployment.go
@@ -419,11 +419,11 @@
 	t *task
 }
 
-func (d *Deployment) gang(j *Job, try int64) []member {
+func (d *Deployment) gang(j *Job, attempt int64) []member {
 	var all []member
 	for n := range j.spec.Tasks {
 		for m := range j.places[n] {
-			if t := m.find(taskKey{j.spec.ID, n}, try); t != nil && t.onIt {
+			if t := m.find(taskKey{j.spec.ID, n}, attempt); t != nil && t.onIt {
 				all = append(all, member{m, t})
 			}
 		}
@@ -432,8 +432,8 @@
 }
 
 // gather starts a gang once all its tasks wait.
-func (d *Deployment) gather(j *Job, try int64) {
-	all := d.gang(j, try)
+func (d *Deployment) gather(j *Job, attempt int64) {
+	all := d.gang(j, attempt)
 	for _, x := range all {
 		if x.t.status != protocol.TaskWaiting {
 			return
@@ -446,8 +446,8 @@
 	}
 }
 
-func (d *Deployment) gangDone(j *Job, try int64) {
-	all := d.gang(j, try)
+func (d *Deployment) gangDone(j *Job, attempt int64) {
+	all := d.gang(j, attempt)
 	if len(all) != j.spec.Tasks {
 		return // a task is gone: the others will notice
 	}
@@ -470,7 +470,7 @@
 		for n := range j.spec.Tasks {
 			for _, m := range sortedKeys(j.places[n]) {
 				for _, t := range m.tasks {
-					if t.taskKey == (taskKey{j.spec.ID, n}) && t.onIt && t.status == protocol.TaskRunning && len(d.gang(j, t.try)) < j.spec.Tasks {
+					if t.taskKey == (taskKey{j.spec.ID, n}) && t.onIt && t.status == protocol.TaskRunning && len(d.gang(j, t.attempt)) < j.spec.Tasks {
 						m.do(func() {
 							if t.status == protocol.TaskRunning {
 								m.exit(t, protocol.CausePeers)
--- a/internal/testkit/meetings_test.go
+++ b/internal/testkit/meetings_test.go
@@ -70,7 +70,7 @@
 func lost(d *Deployment) int {
 	n := 0
 	for _, m := range d.Workers() {
-		if m.shift > 1 {
+		if m.session > 1 {
 			n++
 		}
 	}
@@ -141,8 +141,8 @@
 	w.Run(w.Now() + 4*clock.Second)
 	mute.Commands.Heal()
 	w.Run(w.Now() + 5*clock.Second)
-	if mute.runs(j) || mute.shift != 1 {
-		t.Fatalf("what is cancelled runs %v, session %d", mute.runs(j), mute.shift)
+	if mute.runs(j) || mute.session != 1 {
+		t.Fatalf("what is cancelled runs %v, session %d", mute.runs(j), mute.session)
 	}
 	w.Run(w.Now() + 40*clock.Second)
 	mustKeepRules(t, w)
@@ -227,8 +227,8 @@
 		d.Submit(array(fmt.Sprintf("job-1%05d", i), "open", 1, 1, 4), 4*clock.Second, false)
 		for until := w.Now() + 3*clock.Second; w.Now() < until; {
 			w.Run(w.Now() + 100*clock.Millisecond)
-			if m.shift > 1 && len(m.tasks) > 0 {
-				t.Fatalf("%s got %d tasks in session %d", m.name, len(m.tasks), m.shift)
+			if m.session > 1 && len(m.tasks) > 0 {
+				t.Fatalf("%s got %d tasks in session %d", m.name, len(m.tasks), m.session)
 			}
 		}
 	}
@@ -294,8 +294,8 @@
 	w.Run(w.Now() + 400*clock.Second)
 	mustBeDone(t, w, other)
 	mustBeDone(t, w, apart)
-	if record := d.State.record(apart.spec.ID); record.NextTry != 1 {
-		t.Fatalf("a task was started again: next try %d", record.NextTry)
+	if record := d.State.record(apart.spec.ID); record.NextAttempt != 1 {
+		t.Fatalf("a task was started again: next try %d", record.NextAttempt)
 	}
 }
 
--- a/internal/testkit/scale_test.go
+++ b/internal/testkit/scale_test.go
@@ -157,7 +157,7 @@
 		t.Fatalf("broken %v, accepted but not done %v", w.Broken[:min(len(w.Broken), 5)], left)
 	}
 	for _, m := range d.Cloud.all {
-		if m.shift > 1 && !excused[m] {
+		if m.session > 1 && !excused[m] {
 			t.Errorf("%s lost its lease", m.name)
 		}
 	}
@@ -218,7 +218,7 @@
 		t.Fatalf("broken %v, accepted but not done %v", w.Broken[:min(len(w.Broken), 5)], left)
 	}
 	for _, m := range d.Cloud.all {
-		if m.shift > 1 {
+		if m.session > 1 {
 			t.Errorf("%s lost its lease", m.name)
 		}
 	}
--- a/internal/testkit/scenes_test.go
+++ b/internal/testkit/scenes_test.go
@@ -79,7 +79,7 @@
 		t.Fatal("the same node leads")
 	}
 	for _, m := range d.Workers() {
-		if m.shift > 1 {
+		if m.session > 1 {
 			t.Fatalf("%s lost its tasks", m.name)
 		}
 	}
@@ -107,7 +107,7 @@
 }
 
 // A gang that loses a task before it has started gets a replacement, with the
-// same try, and those that wait for it needn't start over.
+// same attempt, and those that wait for it needn't start over.
 func TestGangIsCompletedBeforeItStarts(t *testing.T) {
 	w := NewWorld(9)
 	set := testSettings()
@@ -140,7 +140,7 @@
 	dying.Die()
 	w.Run(w.Now() + 150*clock.Second)
 	record, err := ledger.Decode(d.State.keys[ledger.Key(spec.ID)].value)
-	if err != nil || record.Status != protocol.StatusDone || record.NextTry != 2 {
+	if err != nil || record.Status != protocol.StatusDone || record.NextAttempt != 2 {
 		t.Fatalf("record %+v, %v", record, err)
 	}
 	mustBeDone(t, w, j)
@@ -185,7 +185,7 @@
 	m.Unheeding = true
 	w.Run(w.Now() + 60*clock.Second)
 	if !m.ended {
-		t.Fatalf("%s is kept in session %d", m.name, m.shift)
+		t.Fatalf("%s is kept in session %d", m.name, m.session)
 	}
 	w.Run(w.Now() + 120*clock.Second)
 	mustBeDone(t, w, j)
@@ -221,8 +221,8 @@
 		m.Commands.Heal()
 		w.Run(w.Now() + 15*clock.Second)
 		d.Cloud.Outage = false
-		if m.shift < 2 || len(m.tasks) == 0 {
-			t.Fatalf("session %d, tasks %d", m.shift, len(m.tasks))
+		if m.session < 2 || len(m.tasks) == 0 {
+			t.Fatalf("session %d, tasks %d", m.session, len(m.tasks))
 		}
 		if next {
 			n := d.Nodes[leading(t, d)]
@@ -403,7 +403,7 @@
 	}
 	w.Run(180 * clock.Second)
 	record, err := ledger.Decode(d.State.keys[ledger.Key(spec.ID)].value)
-	if err != nil || costly() > 0 || len(gang.places) != 2 || record.NextTry != 2 {
+	if err != nil || costly() > 0 || len(gang.places) != 2 || record.NextAttempt != 2 {
 		t.Fatalf("%d costly machines are up, record %+v, %v", costly(), record, err)
 	}
 	w.Run(1500 * clock.Second)
--- a/internal/testkit/state.go
+++ b/internal/testkit/state.go
@@ -229,10 +229,10 @@
 	return j
 }
 
-// placed tells whether a job's record has a try on a machine.
-func (s *State) placed(k taskKey, try int64, machine string) bool {
+// placed tells whether a job's record has an attempt on a machine.
+func (s *State) placed(k taskKey, attempt int64, machine string) bool {
 	j := s.wholeRecord(k.job)
-	return j != nil && j.Placed[k.task].Try == try && j.Placed[k.task].Machine == machine
+	return j != nil && j.Placed[k.task].Attempt == attempt && j.Placed[k.task].Machine == machine
 }
 
 // over tells whether a job's record is final.
--- a/internal/testkit/worker.go
+++ b/internal/testkit/worker.go
@@ -19,16 +19,16 @@
 
 type taskRef struct {
 	taskKey
-	try int64
+	attempt int64
 }
 
 type task struct {
 	taskKey
-	try    int64
-	status string
-	cause  string
-	saved  bool
-	onIt   bool // has its image and hasn't ended
+	attempt int64
+	status  string
+	cause   string
+	saved   bool
+	onIt    bool // has its image and hasn't ended
 }
 
 // Worker stands in for one machine.
@@ -41,13 +41,13 @@
 	rentedAt   clock.Micros
 	up, ended  bool
 
-	shift, counter, epoch int64
-	tasks                 []*task
-	node                  int
-	answeredSent          clock.Micros
-	inFlight              bool
-	changed               bool
-	recallAt              clock.Micros
+	session, counter, epoch int64
+	tasks                   []*task
+	node                    int
+	answeredSent            clock.Micros
+	inFlight                bool
+	changed                 bool
+	recallAt                clock.Micros
 	// Hung machines do nothing until they go on, but their leases run out.
 	Hung   bool
 	frozen []func()
@@ -64,7 +64,7 @@
 	Unheeding bool
 	// Late is the chance that a copy of a report arrives long after it.
 	Late float64
-	// forgotten are the tries of this session that may not come again.
+	// forgotten are the attempts of this session that may not come again.
 	forgotten map[taskRef]bool
 	// Faulty machines fail every task.
 	Faulty bool
@@ -82,7 +82,7 @@
 		if m.ended {
 			return
 		}
-		m.up, m.status, m.shift = true, protocol.MachineRunning, 1
+		m.up, m.status, m.session = true, protocol.MachineRunning, 1
 		m.answeredSent = d.World.now
 		m.node = d.World.Rand.IntN(len(d.Nodes))
 		m.watchLease()
@@ -158,7 +158,7 @@
 			}
 		}
 		m.killAll()
-		m.shift++
+		m.session++
 		clear(m.forgotten)
 		m.answeredSent = w.now
 		m.watchLease()
@@ -191,13 +191,13 @@
 func (m *Worker) snapshot() protocol.Report {
 	m.counter++
 	r := protocol.Report{Machine: m.name, Address: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot,
-		Shift: m.shift, Counter: m.counter, Epoch: m.epoch}
+		Session: m.session, Counter: m.counter, Epoch: m.epoch}
 	if m.recallAt != 0 {
 		left := (m.recallAt - m.d.World.now).Seconds()
 		r.RecallS = &left
 	}
 	for _, t := range m.tasks {
-		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: protocol.TaskName(t.job, t.task), Try: t.try, Status: t.status, Cause: t.cause, Saved: t.saved})
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: protocol.TaskName(t.job, t.task), Attempt: t.attempt, Status: t.status, Cause: t.cause, Saved: t.saved})
 	}
 	return r
 }
@@ -210,7 +210,7 @@
 	}
 	w := m.d.World
 	m.inFlight = true
-	sent, shift := w.now, m.shift
+	sent, session := w.now, m.session
 	r := m.snapshot()
 	over := false
 	finish := func(next int, pause clock.Micros) {
@@ -254,7 +254,7 @@
 					}
 					finish(-1, 0)
 					a := body.(protocol.HeartbeatAnswer)
-					if shift != m.shift || a.Epoch < m.epoch {
+					if session != m.session || a.Epoch < m.epoch {
 						return
 					}
 					m.adopt(a.Epoch)
@@ -290,7 +290,7 @@
 	if empty {
 		m.killAll()
 	}
-	m.shift, m.counter = 1, 0
+	m.session, m.counter = 1, 0
 	m.change()
 }
 
@@ -318,18 +318,18 @@
 		key := taskKey{id, n}
 		switch o.Verb {
 		case protocol.VerbStart:
-			m.start(key, o.Try)
+			m.start(key, o.Attempt)
 		case protocol.VerbStop:
-			if t := m.find(key, o.Try); t != nil && t.status != protocol.TaskExited {
+			if t := m.find(key, o.Attempt); t != nil && t.status != protocol.TaskExited {
 				m.stop(t, o.GraceS)
 			}
 		case protocol.VerbForget:
 			for i, t := range m.tasks {
-				if t.taskKey == key && t.try == o.Try && t.status == protocol.TaskExited {
+				if t.taskKey == key && t.attempt == o.Attempt && t.status == protocol.TaskExited {
 					m.tasks = append(m.tasks[:i:i], m.tasks[i+1:]...)
-					m.forgotten[taskRef{key, o.Try}] = true
-					if m.d.State.placed(key, o.Try, m.name) {
-						m.d.World.Break("forgot_early", "%s try %d: its end is not in the record", o.Task, o.Try)
+					m.forgotten[taskRef{key, o.Attempt}] = true
+					if m.d.State.placed(key, o.Attempt, m.name) {
+						m.d.World.Break("forgot_early", "%s try %d: its end is not in the record", o.Task, o.Attempt)
 					}
 					break
 				}
@@ -338,25 +338,25 @@
 	}
 }
 
-func (m *Worker) find(k taskKey, try int64) *task {
+func (m *Worker) find(k taskKey, attempt int64) *task {
 	for _, t := range m.tasks {
-		if t.taskKey == k && t.try == try {
+		if t.taskKey == k && t.attempt == attempt {
 			return t
 		}
 	}
 	return nil
 }
 
-func (m *Worker) start(k taskKey, try int64) {
-	if m.find(k, try) != nil {
+func (m *Worker) start(k taskKey, attempt int64) {
+	if m.find(k, attempt) != nil {
 		return
 	}
-	// A gang's replacement may come back with the same try, but only by record.
+	// A gang's replacement may come back with the same attempt, but only by record.
 	// What is done has kept its result and doesn't run again.
-	if j := m.d.jobs[k.job]; m.forgotten[taskRef{k, try}] && !j.gone[k.task] && !m.d.State.placed(k, try, m.name) {
-		m.d.World.Break("started_again", "%s/%d try %d after it was forgotten", k.job, k.task, try)
+	if j := m.d.jobs[k.job]; m.forgotten[taskRef{k, attempt}] && !j.gone[k.task] && !m.d.State.placed(k, attempt, m.name) {
+		m.d.World.Break("started_again", "%s/%d try %d after it was forgotten", k.job, k.task, attempt)
 	}
-	t := &task{taskKey: k, try: try, status: protocol.TaskExited}
+	t := &task{taskKey: k, attempt: attempt, status: protocol.TaskExited}
 	m.tasks = append(m.tasks, t)
 	m.change()
 	j := m.d.jobs[k.job]
@@ -369,16 +369,16 @@
 		return
 	}
 	for _, other := range m.tasks {
-		if other.taskKey == k && other.try != try && other.status != protocol.TaskExited {
+		if other.taskKey == k && other.attempt != attempt && other.status != protocol.TaskExited {
 			t.cause = protocol.CauseBusy
 			return
 		}
 	}
 	t.status = protocol.TaskFetching
-	shift := m.shift
+	session := m.session
 	m.d.World.After(m.d.World.Between(0, 4*clock.Second), func() {
 		m.do(func() {
-			if m.shift != shift || t.status != protocol.TaskFetching || m.find(k, try) != t {
+			if m.session != session || t.status != protocol.TaskFetching || m.find(k, attempt) != t {
 				return
 			}
 			t.onIt = true
@@ -398,7 +398,7 @@
 						}
 					})
 				})
-				m.d.gather(j, try)
+				m.d.gather(j, attempt)
 			default:
 				m.run(t, j)
 			}
@@ -434,7 +434,7 @@
 		m.do(func() {
 			if t.status == protocol.TaskRunning && t.onIt {
 				if j.spec.Gang() {
-					m.d.gangDone(j, t.try)
+					m.d.gangDone(j, t.attempt)
 				} else {
 					m.exit(t, protocol.CauseDone)
 				}
@@ -479,7 +479,7 @@
 
 // command executes a direct command.
 func (m *Worker) command(c protocol.Commands) (int, protocol.Report) {
-	if c.Epoch < m.epoch || c.Shift != m.shift {
+	if c.Epoch < m.epoch || c.Session != m.session {
 		return http.StatusConflict, m.snapshot()
 	}
 	m.adopt(c.Epoch)
