One assembly of a node for controllers and tests; testkit, intake and commits one duty a file

internal/node wires the actors, which controller.Run and testkit.StartNode each did. Long functions of the test worker are cut by step. No behaviour changes.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -12,12 +12,10 @@
 	"postpoint/internal/agent"
 	"postpoint/internal/clock"
 	"postpoint/internal/cloud"
-	"postpoint/internal/dispatch"
 	"postpoint/internal/intake"
 	"postpoint/internal/leadership"
+	"postpoint/internal/node"
 	"postpoint/internal/peer"
-	"postpoint/internal/protocol"
-	"postpoint/internal/rollout"
 	"postpoint/internal/settings"
 	"postpoint/internal/statestore"
 )
@@ -84,56 +82,42 @@
 
 // Run starts the actors and serves until one of the listeners fails.
 func Run(s *settings.Settings, o Options) error {
+	n := assemble(s, o)
+	n.Intake.RefuseWhen(memoryFull(s.Deployment.MachineLimits.MemoryMb))
+	n.Start()
+	failed := make(chan error, 2)
+	go func() { failed <- peer.Serve(s.InternalAddr, n.Intake) }()
+	go func() {
+		failed <- intake.Serve(s.Bind, clientConnections(s.Deployment.MachineLimits), n.Intake, n.Dispatch)
+	}()
+	return <-failed
+}
+
+// assemble connects a node to the outside systems.
+func assemble(s *settings.Settings, o Options) *node.Node {
 	machineClock := clock.System()
+	boxes := node.Mailboxes{Dispatch: actor.New(machineClock), Leadership: actor.New(machineClock),
+		Intake: actor.New(machineClock), Rollout: actor.New(machineClock)}
 	state := statestore.New(s.Outside.State, s.Deployment.State.Tightest())
 	var peers []string
 	for _, p := range s.Known {
 		peers = append(peers, p.PeerAddr)
 	}
-
-	var leader *leadership.Leadership
-	var users *intake.Intake
-	dispatchBox := actor.New(machineClock)
-	everyone := peer.NewForwarder(peers, dispatchBox)
-	dispatcher := dispatch.New(dispatchBox, state.For(dispatchBox), cloud.New(s.Outside.Cloud).For(dispatchBox),
-		agent.New().For(dispatchBox), s,
-		func(epoch int64) { leader.Deposed(epoch) },
-		func() { leader.Resign() },
-		func(back clock.Micros, done func([]intake.Attestation, bool)) {
-			everyone.Everyone(users, intake.AttestRequest(back), func(answers []intake.Answer, ok bool) {
+	everyone := peer.NewForwarder(peers, boxes.Dispatch)
+	return node.New(node.Environment{
+		Settings:   s,
+		Leadership: leadership.Config{Node: s.Node, Incarnation: rand.Text(), TTL: o.LeaseTTL},
+		Mailboxes:  boxes,
+		Store:      state.For,
+		Cloud:      cloud.New(s.Outside.Cloud).For(boxes.Dispatch),
+		Agent:      agent.New().For(boxes.Dispatch),
+		Forward:    peer.NewForwarder(peers, boxes.Intake).Forward,
+		Everyone: func(own *intake.Intake, back clock.Micros, done func([]intake.Attestation, bool)) {
+			everyone.Everyone(own, intake.AttestRequest(back), func(answers []intake.Answer, ok bool) {
 				done(intake.Attestations(answers, ok))
 			})
 		},
-		func(types []protocol.MachineType) { users.Types(types) })
-
-	leaderBox := actor.New(machineClock)
-	leader = leadership.New(leaderBox, state.For(leaderBox),
-		leadership.Config{Node: s.Node, Incarnation: rand.Text(), TTL: o.LeaseTTL},
-		func(t leadership.Term) {
-			users.Elected(t.Epoch) // first: nothing is vouched for after the term has begun
-			dispatcher.Term(t)
-		}, dispatcher.Leader)
-
-	usersBox := actor.New(machineClock)
-	users = intake.New(usersBox, state.For(usersBox), s, peer.NewForwarder(peers, usersBox).Forward)
-	users.RefuseWhen(memoryFull(s.Deployment.MachineLimits.MemoryMb))
-
-	rolloutBox := actor.New(machineClock)
-	upgrade := rollout.New(rolloutBox, state.For(rolloutBox), s.Node, s.Nodes(),
-		leader.Start, // what this node writes comes after its format
-		func(status rollout.Status) {
-			dispatcher.Format(status)
-			users.Format(status)
-		})
-
-	dispatcher.Start()
-	upgrade.Start()
-	failed := make(chan error, 2)
-	go func() { failed <- peer.Serve(s.InternalAddr, users) }()
-	go func() {
-		failed <- intake.Serve(s.Bind, clientConnections(s.Deployment.MachineLimits), users, dispatcher)
-	}()
-	return <-failed
+	})
 }
 
 // clientConnections is how many connections of users, workers and health checks the
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"slices"
 
-	"postpoint/internal/clock"
 	"postpoint/internal/leadership"
 	"postpoint/internal/ledger"
 	"postpoint/internal/protocol"
@@ -17,55 +16,6 @@
 // sizes are counted as JSON, which is a little longer than what is measured.
 const txnBytes = 40 << 10
 
-// head stands for a job's record, or the head of a divided one, where parts are numbered.
-const head = -1
-
-// write is a change of one stored value of a job.
-type write struct {
-	j       *job
-	v       *storedValue
-	part    int // or head
-	changed int
-	// guard is the version of the head that a part's change depends on.
-	guard  int64
-	remove bool
-}
-
-func (w *write) key() string {
-	if w.part == head {
-		return ledger.Key(w.j.Spec.ID)
-	}
-	return ledger.PartKey(w.j.Spec.ID, w.part)
-}
-
-// change is what is written, made when it is sent.
-func (w *write) change() protocol.Change {
-	switch {
-	case w.part == head:
-		return protocol.Change{Put: w.key(), Value: w.j.Encode()}
-	case w.remove:
-		return protocol.Change{Delete: w.key()}
-	}
-	return protocol.Change{Put: w.key(), Value: w.j.EncodePart(w.part)}
-}
-
-// Urgencies of changes of one rank.
-const (
-	urgentWhole   = iota // a whole job waits for it
-	urgentStart          // some tasks of a job wait for it
-	urgentDivide         // a job starts nothing more until then
-	urgentEnds           // ends of some tasks among many, that nobody waits for
-	urgentRemoval        // of parts that nobody needs any more
-)
-
-// unit are changes that go in one transaction or not at all.
-type unit struct {
-	writes  []write
-	rank    int
-	urgency int
-	dirtyAt clock.Micros
-}
-
 // commit writes changed records, many in one transaction, each guarded by its
 // own version and all by the leader's key: a deposed leader changes nothing.
 func (d *Dispatch) commit() {
@@ -168,140 +118,6 @@
 	})
 }
 
-// dirtyUnits are the changes that are due, and reads those records again that must be.
-func (d *Dispatch) dirtyUnits() []unit {
-	var units []unit
-	for _, j := range inOrder(d.jobs) {
-		switch {
-		case j.reread:
-			d.readAgain(j)
-		case j.partsUnread:
-		default:
-			units = append(units, d.unitsOf(j)...)
-		}
-	}
-	return units
-}
-
-// unitsOf are the changes of one job that are due.
-func (d *Dispatch) unitsOf(j *job) []unit {
-	var units []unit
-	rank := protocol.RankOf(j.Spec.Rank)
-	if v := &j.storedValue; !v.inFlight && v.changed != v.durable && (!j.dividing || j.partsStored()) {
-		urgency := headUrgency(j)
-		if d.now() >= v.dirtyAt+commitDelay(urgency, j) {
-			units = append(units, unit{[]write{{j: j, v: v, part: head, changed: v.changed}}, rank, urgency, v.dirtyAt})
-		}
-	}
-	if j.Final() {
-		d.findParts(j)
-		return append(units, removals(j, rank)...)
-	}
-	_, txnOps := d.recordLimits()
-	parts := unit{rank: rank, urgency: urgentWhole} // of a gang, which starts whole
-	for i, v := range j.parts {
-		if v.isStored() || v.inFlight {
-			continue
-		}
-		w := write{j: j, v: v, part: i, changed: v.changed, guard: j.version}
-		urgency := partUrgency(j, v)
-		switch {
-		case j.Spec.Gang() && !j.dividing && len(j.parts) <= txnOps:
-			parts.writes = append(parts.writes, w)
-			parts.dirtyAt = max(parts.dirtyAt, v.dirtyAt)
-		case d.now() >= v.dirtyAt+commitDelay(urgency, j):
-			units = append(units, unit{[]write{w}, rank, urgency, v.dirtyAt})
-		}
-	}
-	if len(parts.writes) > 0 {
-		units = append(units, parts)
-	}
-	return units
-}
-
-// findParts looks for parts of a job that is over whose changes had no answer. Its head has
-// changed since, so that none of those changes can be carried out any more.
-func (d *Dispatch) findParts(j *job) {
-	uncertain := func(v *storedValue) bool { return v.uncertain }
-	if j.reading || !j.isStored() || !slices.ContainsFunc(j.parts, uncertain) {
-		return
-	}
-	j.reading = true
-	d.listParts(j, reading{}, "", func(r reading) {
-		for _, v := range j.parts {
-			v.version, v.uncertain = 0, false
-		}
-		for _, item := range r.parts {
-			if _, part, ok := ledger.ParsePartKey(item.Key); ok && part < len(j.parts) {
-				j.parts[part].version = item.Version
-			}
-		}
-	})
-}
-
-// removals are the parts of a job that is over which hold nothing that may still run.
-func removals(j *job, rank int) []unit {
-	if !j.isStored() {
-		return nil // until its end is stored they are needed
-	}
-	needed := map[int]bool{}
-	for task := range j.Placed {
-		if j.PartSize > 0 {
-			needed[j.PartOf(task)] = true
-		}
-	}
-	var units []unit
-	for i, v := range j.parts {
-		if v.version != 0 && !v.uncertain && !v.inFlight && !needed[i] {
-			units = append(units, unit{[]write{{j: j, v: v, part: i, changed: v.changed, guard: j.version, remove: true}}, rank, urgentRemoval, 0})
-		}
-	}
-	return units
-}
-
-// headUrgency orders the changes of one rank: what a whole job waits for, then
-// starts, then ends of some tasks among many.
-func headUrgency(j *job) int {
-	switch {
-	case j.dividing:
-		return urgentDivide
-	case j.Final() || j.Spec.Gang() || len(j.fresh) > 0 && len(j.fresh) == len(j.Placed):
-		return urgentWhole
-	case len(j.fresh) > 0:
-		return urgentStart
-	}
-	return urgentEnds
-}
-
-func partUrgency(j *job, v *storedValue) int {
-	switch {
-	case j.dividing:
-		return urgentDivide
-	case len(v.fresh) > 0:
-		return urgentStart
-	}
-	return urgentEnds
-}
-
-// commitDelay is how long a change may wait for others of its value: each write
-// costs a part of the state service's budget however much it changes, and the
-// ends of single tasks, that nobody waits for, come one by one. A divided record costs
-// a write for each of its parts.
-func commitDelay(urgency int, j *job) clock.Micros {
-	switch {
-	case urgency != urgentEnds:
-		return 0
-	case j.PartSize > 0:
-		return partEndsTime
-	}
-	return endsTime
-}
-
-const (
-	endsTime     = 700 * clock.Millisecond
-	partEndsTime = 4 * clock.Second
-)
-
 // sweepOrphans removes parts that belong to no divided record: a leader ended while it
 // divided one.
 func (d *Dispatch) sweepOrphans() {
--- /dev/null
+++ b/internal/testkit/gangs.go
@@ -0,0 +1,72 @@
+package testkit
+
+import "postpoint/internal/protocol"
+
+type member struct {
+	m *Worker
+	t *task
+}
+
+func (d *Deployment) gang(j *Job, attempt int64) []member {
+	var all []member
+	for n := range j.spec.Tasks {
+		for m := range j.places[n] {
+			if t := m.find(taskKey{j.spec.ID, n}, attempt); t != nil && t.onIt {
+				all = append(all, member{m, t})
+			}
+		}
+	}
+	return all
+}
+
+// gather starts a gang once all its tasks wait.
+func (d *Deployment) gather(j *Job, attempt int64) {
+	all := d.gang(j, attempt)
+	for _, x := range all {
+		if x.t.status != protocol.TaskWaiting {
+			return
+		}
+	}
+	if len(all) == j.spec.Tasks {
+		for _, x := range all {
+			x.m.run(x.t, j)
+		}
+	}
+}
+
+func (d *Deployment) gangDone(j *Job, attempt int64) {
+	all := d.gang(j, attempt)
+	if len(all) != j.spec.Tasks {
+		return // a task is gone: the others will notice
+	}
+	for _, x := range all {
+		if x.t.status != protocol.TaskRunning || x.m.Hung {
+			return
+		}
+	}
+	for _, x := range all {
+		x.m.exit(x.t, protocol.CauseDone)
+	}
+}
+
+// checkGangs ends running gangs that have lost a task.
+func (d *Deployment) checkGangs() {
+	for _, j := range d.order {
+		if !j.spec.Gang() || j.Done() {
+			continue
+		}
+		for n := range j.spec.Tasks {
+			for _, m := range sortedKeys(j.places[n]) {
+				for _, t := range m.tasks {
+					if t.taskKey == (taskKey{j.spec.ID, n}) && t.onIt && t.status == protocol.TaskRunning && len(d.gang(j, t.attempt)) < j.spec.Tasks {
+						m.do(func() {
+							if t.status == protocol.TaskRunning {
+								m.exit(t, protocol.CausePeers)
+							}
+						})
+					}
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/testkit/users.go
@@ -0,0 +1,197 @@
+package testkit
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+
+	"postpoint/internal/clock"
+	"postpoint/internal/intake"
+	"postpoint/internal/planner"
+	"postpoint/internal/protocol"
+)
+
+// Job is a user's job and what its user was told.
+type Job struct {
+	spec       protocol.JobSpec
+	run        clock.Micros
+	mistaken   bool
+	told       string // the last final state
+	cancelled  clock.Micros
+	wantsEnd   bool
+	heardAt    clock.Micros // when its user last got an answer
+	idleAt     clock.Micros // when it last ran, or couldn't have: see WatchRoom
+	submitted  clock.Micros
+	acceptedAt clock.Micros
+	began      clock.Micros // when its first task had its image
+	gone       map[int]bool // completed tasks
+	places     map[int]map[*Worker]bool
+}
+
+// accepted tells whether any node has accepted the job.
+func (j *Job) accepted() bool { return j.acceptedAt != 0 }
+
+func (j *Job) needs() planner.Amounts { return planner.Needs(&j.spec) }
+
+// Done tells whether every task has completed.
+func (j *Job) Done() bool { return len(j.gone) == j.spec.Tasks && !j.spec.Service() }
+
+// ask sends a user's request to any node; no answer within the user's time is
+// status 0.
+func (d *Deployment) ask(r intake.Request, done func(status int, s protocol.JobStatus)) {
+	over := false
+	d.World.After(5*clock.Second, func() {
+		if !over {
+			over = true
+			done(0, protocol.JobStatus{})
+		}
+	})
+	n := d.Nodes[d.World.Rand.IntN(len(d.Nodes))]
+	if !n.proc.alive {
+		return
+	}
+	proc := n.proc
+	d.World.After(clock.Millisecond, func() {
+		if !proc.alive {
+			return
+		}
+		told := func(a intake.Answer) {
+			if over {
+				return
+			}
+			over = true
+			var s protocol.JobStatus
+			if err := protocol.Decode(a.Body, &s); err != nil {
+				s = protocol.JobStatus{}
+			}
+			done(a.Status, s)
+		}
+		n.requests.Handle(r, func(a intake.Answer) {
+			proc.leaves(func() { d.World.After(clock.Millisecond, func() { told(a) }) })
+		})
+	})
+}
+
+// Submit has a user submit a job, poll it until it is over and now and then
+// repeat the submission.
+func (d *Deployment) Submit(spec protocol.JobSpec, run clock.Micros, mistaken bool) *Job {
+	j := &Job{spec: spec, run: run, mistaken: mistaken, gone: map[int]bool{}, places: map[int]map[*Worker]bool{}}
+	j.submitted = d.World.now
+	d.jobs[spec.ID] = j
+	d.order = append(d.order, j)
+	d.submit(j)
+	return j
+}
+
+func (d *Deployment) submit(j *Job) {
+	before := j.told
+	d.ask(intake.Request{Kind: intake.Submit, Body: protocol.Encode(j.spec)}, func(status int, s protocol.JobStatus) {
+		switch status {
+		case http.StatusCreated, http.StatusOK:
+			first := !j.accepted()
+			if first {
+				j.acceptedAt = d.World.now
+			}
+			d.told(j, before, s)
+			if first {
+				d.poll(j)
+			}
+		case http.StatusBadRequest, http.StatusUnprocessableEntity:
+			d.World.Break("forgotten", "%s answered %d", j.spec.ID, status)
+		default:
+			d.World.After(clock.Second, func() { d.submit(j) })
+		}
+	})
+}
+
+// Refused has a user submit what must not be accepted.
+func (d *Deployment) Refused(body []byte) {
+	d.ask(intake.Request{Kind: intake.Submit, Body: body}, func(status int, _ protocol.JobStatus) {
+		if status == http.StatusOK || status == http.StatusCreated {
+			d.World.Break("accepted", "answered %d: %x", status, body)
+		}
+	})
+}
+
+func (d *Deployment) poll(j *Job) {
+	d.World.After(d.World.Between(3*clock.Second, 6*clock.Second), func() {
+		before := j.told
+		d.ask(intake.Request{Kind: intake.Show, ID: j.spec.ID}, func(status int, s protocol.JobStatus) {
+			if status == http.StatusNotFound {
+				d.World.Break("forgotten", "%s answered 404", j.spec.ID)
+			}
+			if status == http.StatusOK {
+				j.heardAt = d.World.now
+				d.told(j, before, s)
+			}
+			if j.told == "" || d.World.chance(0.3) {
+				d.poll(j)
+			}
+			if d.World.chance(0.03) {
+				d.submit(j)
+			}
+		})
+	})
+}
+
+// Cancel has the user cancel the job.
+func (d *Deployment) Cancel(j *Job) {
+	if !j.accepted() {
+		return
+	}
+	j.wantsEnd = true
+	before := j.told
+	d.ask(intake.Request{Kind: intake.Cancel, ID: j.spec.ID}, func(status int, s protocol.JobStatus) {
+		if status == http.StatusOK {
+			d.told(j, before, s)
+			return
+		}
+		d.World.After(clock.Second, func() { d.Cancel(j) })
+	})
+}
+
+// told judges an answer by what the user had been told when asking.
+func (d *Deployment) told(j *Job, before string, s protocol.JobStatus) {
+	final := s.Status == protocol.StatusDone || s.Status == protocol.StatusCancelled
+	if before != "" && s.Status != before || s.Status == protocol.StatusCancelled && !j.wantsEnd {
+		d.World.Break("went_back", "%s was %q, is %q", j.spec.ID, before, s.Status)
+	}
+	if s.Status == protocol.StatusDone && !j.Done() {
+		d.World.Break("not_done", "%s with %d of %d", j.spec.ID, len(j.gone), j.spec.Tasks)
+	}
+	if !final || j.told != "" {
+		return
+	}
+	j.told = s.Status
+	if s.Status == protocol.StatusCancelled {
+		j.cancelled = d.World.now
+		d.World.After(clock.FromSeconds(d.Settings.Deployment.Workers.CancelS)+1, func() {
+			for t, ws := range j.places {
+				if len(ws) > 0 {
+					d.World.Break("ran_cancelled", "%s/%d is still there", j.spec.ID, t)
+				}
+			}
+			for _, m := range d.Cloud.all {
+				// Its lease had not ended before: that would have proven it gone.
+				if m.ghosts[j.spec.ID] > j.cancelled && d.World.now > d.disturbedAt+returnable {
+					d.World.Break("ran_cancelled", "%s is still on %s, which hangs", j.spec.ID, m.name)
+				}
+			}
+		})
+	}
+}
+
+// Jobs gives all jobs in the order of their submission.
+func (d *Deployment) Jobs() []*Job { return d.order }
+
+// Unfinished are accepted jobs that are neither cancelled nor told done.
+func (d *Deployment) Unfinished() []string {
+	var ids []string
+	for _, j := range d.order {
+		if !j.wantsEnd && j.told != protocol.StatusDone && !j.mistaken && !j.spec.Service() {
+			ids = append(ids, fmt.Sprintf("%s (%d of %d)", j.spec.ID, len(j.gone), j.spec.Tasks))
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
