--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"strings"
 	"testing"
 
 	"postpoint/internal/clock"
@@ -204,3 +205,24 @@
 		}
 	}
 }
+
+// Places kept for replicas stand behind everything that waits, whatever the rank of the
+// service: work of lower ranks was left waiting beside empty machines that were kept.
+func TestSpareReplicasComeLast(t *testing.T) {
+	d, _, _ := service(t)
+	d.adopt(ledger.Key("job-2"), ledger.New(protocol.JobSpec{ID: "job-2", Shape: protocol.ShapeArray, Rank: "idle", Tasks: 3}, 1).Encode(), 6)
+	spares, lowest := 0, 0
+	for _, j := range d.snapshot().Jobs {
+		if strings.HasPrefix(j.ID, sparePrefix) {
+			spares++
+			if j.Rank <= lowest {
+				t.Errorf("%s has rank %d, a job that waits %d", j.ID, j.Rank, lowest)
+			}
+		} else {
+			lowest = max(lowest, j.Rank)
+		}
+	}
+	if spares != 1 {
+		t.Fatalf("%d spare jobs", spares)
+	}
+}
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -66,10 +66,13 @@
 		}
 		spec := u.spec
 		spec.Shape, spec.Tasks = protocol.ShapeArray, u.spec.Tasks*(1+int(float64(len(u.arrivals))*spareS/rateTime.Seconds()))
+		rank := protocol.RankOf(spec.Rank)
 		if u.spec.Service() {
 			spec.Tasks, spec.Types = d.spareReplicas(u), d.replicaTypes(&u.spec)
+			// Whatever waits goes first: a replica can make room where none is kept.
+			rank = len(protocol.Ranks)
 		}
-		j := planner.Job{ID: sparePrefix + class, Spec: &spec, Rank: protocol.RankOf(spec.Rank), SubmittedAt: math.MaxInt64,
+		j := planner.Job{ID: sparePrefix + class, Spec: &spec, Rank: rank, SubmittedAt: math.MaxInt64,
 			Tier: planner.StartsInTime, StartS: math.MaxFloat64, SlackS: math.MaxFloat64, Limit: spec.Tasks}
 		for t := range spec.Tasks {
 			j.Pending = append(j.Pending, t)
