--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -107,39 +107,25 @@
 	}
 }
 
-// holdsReplicas tells that replicas of an open service are placed on a machine.
-func (d *Dispatch) holdsReplicas(m *machine) bool {
-	for id := range m.placed {
-		if j := d.jobs[id]; j != nil && !j.over() && j.Spec.Service() {
-			return true
-		}
-	}
-	return false
-}
-
 // replaceSilent returns machines with replicas that have missed a report and don't answer
 // when asked: the cloud's answer is proof that they are empty, long before their leases
 // end. If half of all machines are silent, it is more likely this node that hears nothing.
+// A machine whose replicas could run nowhere else stays: where a whole zone is cut off they
+// may serve on inside it.
 func (d *Dispatch) replaceSilent() {
-	now := d.now()
-	var silent []*machine
-	heard, expected := 0, 0
-	for _, m := range d.roster {
-		if m.releasing || !m.seen && len(m.placed) == 0 {
-			continue
-		}
-		expected++
-		if !d.late(m) {
-			heard++
-		} else if d.holdsReplicas(m) {
-			silent = append(silent, m)
-		}
+	zones := d.heardByZone()
+	var all heardCount
+	for _, z := range zones {
+		all.heard += z.heard
+		all.expected += z.expected
 	}
-	if heard < expected/2 {
+	if !all.most() {
 		return
 	}
-	for _, m := range silent {
+	now := d.now()
+	for _, m := range d.roster {
 		switch {
+		case m.releasing || !d.late(m) || !d.replaceable(m, zones):
 		case m.probedAt <= m.heardAt || m.probedAt == 0:
 			m.probedAt = now
 			if !m.calling && m.addr != "" {
@@ -152,6 +138,60 @@
 	}
 }
 
+// heardCount is how many machines are heard of as they should be.
+type heardCount struct{ heard, expected int }
+
+func (c heardCount) most() bool { return 2*c.heard >= c.expected }
+
+// heardByZone counts the machines that are up or are to be.
+func (d *Dispatch) heardByZone() map[string]heardCount {
+	zones := map[string]heardCount{}
+	for _, m := range d.roster {
+		if m.releasing || !m.seen && len(m.placed) == 0 {
+			continue
+		}
+		c := zones[m.zone]
+		c.expected++
+		if !d.late(m) {
+			c.heard++
+		}
+		zones[m.zone] = c
+	}
+	return zones
+}
+
+// replaceable tells that a replica on a machine could run in a zone that is heard of.
+func (d *Dispatch) replaceable(m *machine, zones map[string]heardCount) bool {
+	for id := range m.placed {
+		j := d.jobs[id]
+		if j == nil || j.over() || !j.Spec.Service() {
+			continue
+		}
+		others := d.zonesOf(j)
+		others[m.zone]--
+		for zone, count := range zones {
+			if zone != "" && count.heard > 0 && count.most() && planner.ZoneAllowed(&j.Spec, others, zone) &&
+				(j.Spec.Zone == "" || j.Spec.Zone == zone) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// zonesOf counts a job's placements by zone, those in unknown ones under "".
+func (d *Dispatch) zonesOf(j *job) map[string]int {
+	zones := map[string]int{}
+	for _, p := range j.Placed {
+		zone := ""
+		if m := d.machines[p.Machine]; m != nil {
+			zone = m.zone
+		}
+		zones[zone]++
+	}
+	return zones
+}
+
 // late tells that a machine should have been heard of by now. A new leader gives workers
 // the time to find it.
 func (d *Dispatch) late(m *machine) bool {
