--- a/internal/dispatch/aims.go
+++ b/internal/dispatch/aims.go
@@ -69,34 +69,12 @@
 	}
 	age := (d.mailbox.OfDay() - clock.Micros(j.SubmittedAt)).Seconds()
 	begun := len(j.Placed)+j.Done.Len() > 0
-	tier := planner.TooLate
-	// What may pass until the tasks must run, aim by aim.
-	var slacks []float64
-	latest := 0.0
-	ends := func(due float64) {
-		slacks = append(slacks, due-j.Spec.EstimateS-age)
-		latest = max(latest, due)
-	}
-	if j.Spec.DeadlineS != nil {
-		ends(*j.Spec.DeadlineS)
-	}
-	for _, o := range d.set.Deployment.Objectives {
-		if o.Class != j.Spec.Class {
-			continue
-		}
-		switch {
-		case o.Kind == "wait" && !begun && age < o.WithinS:
-			tier = planner.StartsInTime
-		case o.Kind == "finished":
-			ends(o.WithinS)
-		case o.Kind == "deadline" && o.Times > 0 && j.Spec.DeadlineS != nil:
-			ends(*j.Spec.DeadlineS * o.Times)
-		}
-	}
+	tier := d.startTier(j, age, begun)
+	due := d.dueTimes(j)
 	// A class of whose end nothing is expected is never too late for it either,
 	// and would give way for ever.
-	if latest == 0 {
-		ends(j.Spec.EstimateS + defaultSlackS)
+	if len(due) == 0 || due[len(due)-1] == 0 {
+		due = append(due, j.Spec.EstimateS+defaultSlackS)
 		tier = min(tier, planner.EndsInTime)
 		if age > 3*longWaitS {
 			tier = planner.StartsInTime
@@ -105,17 +83,51 @@
 	if !begun && age+j.Spec.ImageGB*d.slowestFetchS(&j.Spec) > longWaitS {
 		tier = planner.StartsInTime
 	}
-	slices.Sort(slacks)
-	for _, slack := range slacks {
-		if slack >= 0 {
-			return min(tier, planner.EndsInTime), slack
+	return slackTier(tier, due, j.Spec.EstimateS+age)
+}
+
+// startTier is StartsInTime if an aim for the job's start can still be met, else TooLate.
+func (d *Dispatch) startTier(j *job, age float64, begun bool) planner.Tier {
+	for _, o := range d.set.Deployment.Objectives {
+		if o.Class == j.Spec.Class && o.Kind == "wait" && !begun && age < o.WithinS {
+			return planner.StartsInTime
+		}
+	}
+	return planner.TooLate
+}
+
+// dueTimes are when the aims want the job to be done, in seconds from its submission.
+func (d *Dispatch) dueTimes(j *job) []float64 {
+	var due []float64
+	if j.Spec.DeadlineS != nil {
+		due = append(due, *j.Spec.DeadlineS)
+	}
+	for _, o := range d.set.Deployment.Objectives {
+		switch {
+		case o.Class != j.Spec.Class:
+		case o.Kind == "finished":
+			due = append(due, o.WithinS)
+		case o.Kind == "deadline" && o.Times > 0 && j.Spec.DeadlineS != nil:
+			due = append(due, *j.Spec.DeadlineS*o.Times)
+		}
+	}
+	slices.Sort(due)
+	return due
+}
+
+// slackTier is the tier of a job with sorted due times that would end in so many seconds
+// from its submission, and how long it can wait for the next of them.
+func slackTier(tier planner.Tier, due []float64, ends float64) (planner.Tier, float64) {
+	for _, at := range due {
+		if at >= ends {
+			return min(tier, planner.EndsInTime), at - ends
 		}
 	}
-	slack := slacks[len(slacks)-1]
-	if -slack > latest {
-		return min(tier, planner.EndsInTime), slack // it has given way for long enough
+	latest := due[len(due)-1]
+	if ends-latest > latest {
+		tier = min(tier, planner.EndsInTime) // it has given way for long enough
 	}
-	return tier, slack
+	return tier, latest - ends
 }
 
 // slowestFetchS is how long a GB of image takes on the slowest type that the job
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -200,15 +200,8 @@
 	if debugging() {
 		slog.Debug("task exited", "job", id, "task", p.Task, "attempt", p.Attempt, "machine", m.name, "cause", t.Cause, "ran_s", ran.Seconds())
 	}
-	if t.Cause == protocol.CauseDone && !j.Final() && !j.Spec.Service() {
-		if j.Spec.Gang() {
-			// They complete together: if one is done, all are.
-			for task := range j.Spec.Tasks {
-				j.Done.Add(task)
-			}
-		} else {
-			j.Done.Add(p.Task)
-		}
+	if t.Cause == protocol.CauseDone {
+		j.noteDone(p.Task)
 	}
 	d.unplace(j, p)
 	if j.over() {
@@ -217,31 +210,50 @@
 	if j.Spec.Service() && d.replicaEnded(m, j, p, t.Cause, ran) {
 		return
 	}
-	switch t.Cause {
+	d.afterEnd(m, j, p, t.Cause, ran)
+}
+
+// noteDone notes a task that has completed. A gang completes together: if one is done, all
+// are. What is over doesn't change any more, and a service's tasks are never done.
+func (j *job) noteDone(task int) {
+	switch {
+	case j.Final() || j.Spec.Service():
+	case j.Spec.Gang():
+		for t := range j.Spec.Tasks {
+			j.Done.Add(t)
+		}
+	default:
+		j.Done.Add(task)
+	}
+}
+
+// afterEnd draws from an attempt's end what it says of its job and its machine.
+func (d *Dispatch) afterEnd(m *machine, j *job, p ledger.Placement, cause string, ran clock.Micros) {
+	switch cause {
 	case protocol.CauseDone, protocol.CauseStopped, protocol.CausePeers, protocol.CauseAlone:
 		j.brokenAttempt = max(j.brokenAttempt, p.Attempt)
 	}
-	switch t.Cause {
+	switch cause {
 	case protocol.CauseDone:
 		j.failures, j.Cause = 0, ""
 		d.notePace(m, &j.Spec, ran)
 		d.finish(j)
 	case protocol.CauseStopped, protocol.CausePeers:
 	case protocol.CauseAlone:
-		d.startFailed(m, j, p, t.Cause, 0)
+		d.startFailed(m, j, p, cause, 0)
 	case protocol.CauseError:
-		m.faults[id] = true
+		m.faults[j.Spec.ID] = true
 		j.avoid[m.name] = true
-		d.startFailed(m, j, p, t.Cause, clock.Second)
+		d.startFailed(m, j, p, cause, clock.Second)
 		d.judge(m)
 	case protocol.CauseNoRoom:
 		m.fullUntil = d.now() + 5*clock.Second
-		d.startFailed(m, j, p, t.Cause, 0)
+		d.startFailed(m, j, p, cause, 0)
 	case protocol.CauseBusy:
 		m.fullUntil = d.now() + 2*clock.Second
-		d.startFailed(m, j, p, t.Cause, clock.Second)
+		d.startFailed(m, j, p, cause, clock.Second)
 	default:
-		d.startFailed(m, j, p, t.Cause, 2*clock.Second)
+		d.startFailed(m, j, p, cause, 2*clock.Second)
 	}
 }
 
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -27,19 +27,11 @@
 	if d.renting.releasing || !leads && !d.keeps() {
 		return
 	}
-	var names []string
-	add := func(overdue bool) {
-		for _, m := range d.roster {
-			if m.releasing && m.overdue == overdue && len(names) < cloud.ReleaseSize {
-				names = append(names, m.name)
-			}
-		}
-	}
 	// Those that hold what is cancelled can't wait for others, nor for the cloud to
 	// recover from a refusal.
-	add(true)
+	names := d.toRelease(nil, true)
 	if leads && d.now() >= d.renting.downUntil {
-		add(false)
+		names = d.toRelease(names, false)
 	}
 	if len(names) == 0 {
 		return
@@ -56,18 +48,7 @@
 			return
 		}
 		for _, name := range names {
-			m := d.machines[name]
-			for id, tasks := range inOrder(m.placed) {
-				for _, p := range inOrder(tasks) {
-					if j := d.jobs[id]; j != nil {
-						d.unplace(j, p)
-					}
-				}
-			}
-			delete(d.machines, name)
-			delete(d.addresses, name)
-			delete(d.renting.refused, m.kind()) // there is one to be had again
-			d.released[name] = d.now()
+			d.forgetMachine(d.machines[name])
 		}
 		d.forgetReleased()
 		d.roster = slices.DeleteFunc(slices.Clone(d.roster), func(m *machine) bool { return d.machines[m.name] != m })
@@ -75,6 +56,31 @@
 	})
 }
 
+// toRelease adds marked machines, overdue ones or others, up to what one call takes.
+func (d *Dispatch) toRelease(names []string, overdue bool) []string {
+	for _, m := range d.roster {
+		if m.releasing && m.overdue == overdue && len(names) < cloud.ReleaseSize {
+			names = append(names, m.name)
+		}
+	}
+	return names
+}
+
+// forgetMachine drops a machine that is proven gone, and frees its places.
+func (d *Dispatch) forgetMachine(m *machine) {
+	for id, tasks := range inOrder(m.placed) {
+		for _, p := range inOrder(tasks) {
+			if j := d.jobs[id]; j != nil {
+				d.unplace(j, p)
+			}
+		}
+	}
+	delete(d.machines, m.name)
+	delete(d.addresses, m.name)
+	delete(d.renting.refused, m.kind()) // there is one to be had again
+	d.released[m.name] = d.now()
+}
+
 // wasReleased tells that a machine was returned in this term, not long ago.
 func (d *Dispatch) wasReleased(name string) bool {
 	_, released := d.released[name]
--- a/internal/fleet/rent.go
+++ b/internal/fleet/rent.go
@@ -57,6 +57,11 @@
 		}
 		pressing.settle(w.Job)
 	}
+	return m.rentals(fresh)
+}
+
+// rentals counts chosen machines by kind, the cheapest kinds first.
+func (m *Market) rentals(fresh []*rented) []Rental {
 	counts := map[Kind]int{}
 	for _, r := range fresh {
 		counts[r.kind]++
