Parts are read behind a fence; dropped parts are looked for; replicas' ends outlast services

A part's conflict had all parts read while the change of another one, without an answer, could still be carried out: an attempt was given out twice. Now the head is written anew before the parts are read, which voids every change that depends on its old version. A division that meets unknown parts is given up and they are removed, instead of being refused for ever. The end of a replica of a service that is over may be repeated like any other. A job of a higher rank no longer stops what another team is owed, which took the room back at once, hundreds of times.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -171,7 +171,7 @@
 		d.deposed(d.term.Epoch + 1)
 		return
 	case r.Status == http.StatusConflict:
-		noteConflicts(writes, r.Value.Failed)
+		d.noteConflicts(writes, r.Value.Failed)
 	case r.Status == http.StatusBadRequest:
 		d.noteRefused(writes, r.Value.Error)
 	case r.Status == http.StatusTooManyRequests || r.Status == http.StatusServiceUnavailable:
@@ -192,7 +192,7 @@
 		slog.Error("a change is refused, reading the records", "status", r.Status, "reason", r.Value.Error, "records", len(writes))
 		d.pauseUntil = d.now() + retryDelay
 		for _, w := range writes {
-			w.j.reread = true
+			w.j.reread, w.j.fence = true, w.part != head && !w.j.dividing
 		}
 	}
 	for _, w := range writes {
@@ -204,13 +204,27 @@
 	}
 }
 
-// noteConflicts has the records read that somebody else has changed: only they tell. A
-// part that was refused for its head alone goes again if the head's change is known by now.
-func noteConflicts(writes []write, failed []string) {
+// noteConflicts has the records read that somebody else has changed: only they tell.
+func (d *Dispatch) noteConflicts(writes []write, failed []string) {
 	for _, w := range writes {
 		j := w.j
-		if slices.Contains(failed, w.key()) || w.part != head && w.guard == j.version && slices.Contains(failed, ledger.Key(j.Spec.ID)) {
-			j.reread = true
+		headChanged := slices.Contains(failed, ledger.Key(j.Spec.ID))
+		changed := slices.Contains(failed, w.key())
+		switch {
+		case headChanged && w.part == head:
+			j.reread, j.fence = true, false // what depends on the old version is void
+		case headChanged:
+			// If the head's change is known by now, the part just goes again.
+			if w.guard == j.version {
+				j.reread, j.fence = true, false
+			}
+		case !changed:
+		case j.Final():
+			w.v.uncertain = true // it is looked for, to be removed
+		case j.dividing:
+			d.abandonDivision(j)
+		default:
+			j.reread, j.fence = true, true
 		}
 	}
 }
@@ -243,6 +257,9 @@
 		if w.part == head && w.j.dividing {
 			w.j.noteDivided()
 		}
+		if w.part == head {
+			w.j.fence = false
+		}
 		w.v.fresh = slices.DeleteFunc(w.v.fresh, func(task int) bool {
 			p, placed := w.j.Placed[task]
 			if placed && !w.j.committed(p) {
--- a/internal/dispatch/divide.go
+++ b/internal/dispatch/divide.go
@@ -40,7 +40,7 @@
 // meanwhile; what ends is noted in the parts.
 func (d *Dispatch) divide(j *job) {
 	limit, _ := d.recordLimits()
-	if j.inFlight || j.reread || j.PartSize != 0 || len(d.orphans) > 0 {
+	if j.inFlight || j.reread || j.strayParts || j.PartSize != 0 || len(d.orphans) > 0 {
 		return
 	}
 	size := ledger.PartSizeWithin(limit)
@@ -72,15 +72,34 @@
 	clear(j.proposed)
 }
 
-// dropParts forgets the parts of a record that turned out to be undivided; what was stored
-// of them is removed.
+// abandonDivision goes on with the undivided record, which has been the valid one.
+func (d *Dispatch) abandonDivision(j *job) {
+	j.PartSize, j.Marked = 0, j.Spec.Service()
+	d.dropParts(j)
+}
+
+// dropParts forgets the parts of a record that turned out to be undivided.
 func (d *Dispatch) dropParts(j *job) {
-	for i, v := range j.parts {
-		if v.version != 0 {
-			d.orphans[ledger.PartKey(j.Spec.ID, i)] = v.version
-		}
+	if len(j.parts) > 0 {
+		j.parts, j.dividing, j.strayParts = nil, false, true
+	}
+}
+
+// findStrayParts looks for what is stored of parts that were dropped, to have it removed. A
+// part whose change had no answer may be there unknown, and would stand in the way of
+// dividing the record again.
+func (d *Dispatch) findStrayParts(j *job) {
+	if j.reading {
+		return
 	}
-	j.parts, j.dividing = nil, false
+	j.reading = true
+	d.listParts(j, reading{}, "", func(r reading) {
+		for _, item := range r.parts {
+			d.orphans[item.Key] = item.Version
+		}
+		j.strayParts = false
+		d.retire(j)
+	})
 }
 
 // cancelDivided takes a cancellation of a divided record: the head is all that a user's
@@ -117,9 +136,7 @@
 	}
 	j.Status = protocol.StatusDone
 	if j.dividing {
-		// Its record is small enough again.
-		j.PartSize = 0
-		d.dropParts(j)
+		d.abandonDivision(j) // its record is small enough again
 	}
 	d.touchHead(j)
 	d.returnRoom(j)
--- a/internal/dispatch/divide_test.go
+++ b/internal/dispatch/divide_test.go
@@ -237,3 +237,112 @@
 		t.Fatalf("%+v", j)
 	}
 }
+
+// lister keeps transactions like commits, and answers reads at once.
+type lister struct {
+	commits
+	items []protocol.Item
+	down  bool
+	item  protocol.Item
+	reads int
+}
+
+func (l *lister) Get(_ string, done func(statestore.Reply[protocol.Item])) {
+	l.reads++
+	done(statestore.Reply[protocol.Item]{Status: http.StatusOK, Value: l.item})
+}
+
+func (l *lister) List(_, _ string, done func(statestore.Reply[protocol.ItemList])) {
+	if l.down {
+		done(statestore.Reply[protocol.ItemList]{Status: http.StatusServiceUnavailable})
+		return
+	}
+	done(statestore.Reply[protocol.ItemList]{Status: http.StatusOK, Value: protocol.ItemList{Items: l.items}})
+}
+
+// A part whose write had no answer is there all the same, and the next try to divide the
+// record meets it: it is found and removed before the record is divided again, instead of
+// being refused for ever.
+func TestUnknownPartsDontStopADivision(t *testing.T) {
+	d, _ := tightLeader(true)
+	store := &lister{}
+	d.store = store
+	content := wideArray()
+	d.adopt(ledger.Key("job-1"), content.Encode(), 5)
+	j := d.jobs["job-1"]
+	d.divide(j)
+	d.commit()
+	first := store.txns[0].Changes[0].Put
+	store.answer(statestore.Reply[protocol.TxnAnswer]{}) // carried out, as it turns out
+	d.pauseUntil = 0
+	d.commit()
+	store.down = true
+	store.answer(statestore.Reply[protocol.TxnAnswer]{Status: http.StatusConflict, Value: protocol.TxnAnswer{Failed: []string{first}}})
+	d.pauseUntil = 0
+	d.commit() // nobody lists its parts
+	if len(j.Placed) != 300 || j.reread {
+		t.Fatalf("%d placed, read again %v: the undivided record is what counts", len(j.Placed), j.reread)
+	}
+	if j.dividing || !j.strayParts {
+		t.Fatalf("dividing %v, stray parts %v", j.dividing, j.strayParts)
+	}
+	d.divide(j)
+	if j.dividing {
+		t.Fatal("divided over a part that may be there")
+	}
+	store.down = false
+	store.items = []protocol.Item{{Key: first, Version: 7}}
+	d.pauseUntil = 0
+	d.commit()
+	d.pauseUntil = 0
+	d.commit()
+	sweep := store.txns[len(store.txns)-1]
+	if len(sweep.Changes) != 1 || sweep.Changes[0].Delete != first {
+		t.Fatalf("%+v", sweep.Changes)
+	}
+	store.answer(ok(9))
+	d.divide(j)
+	if !j.dividing {
+		t.Fatal("not divided again")
+	}
+}
+
+// A part was changed by a request whose answer was lost, and another part's change may still
+// be carried out: before the parts are read the head is written anew, so that nothing that
+// the read doesn't show can come after it. Otherwise an attempt would be given out twice.
+func TestPartsAreReadBehindAFence(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		readBehindFence(t, fenced)
+	}
+}
+
+func readBehindFence(t *testing.T, fenced bool) {
+	t.Helper()
+	d, store, j := divided(t)
+	reads := &lister{commits: *store}
+	d.store = reads
+	reads.commits.answer(statestore.Reply[protocol.TxnAnswer]{}) // of part 0: it may still be carried out
+	d.place(j, ledger.Placement{Task: 150, Attempt: 1, Machine: "m-2", Session: 1})
+	d.pauseUntil = 0
+	d.commit()
+	reads.answer(statestore.Reply[protocol.TxnAnswer]{Status: http.StatusConflict, Value: protocol.TxnAnswer{Failed: []string{ledger.PartKey("job-1", 1)}}})
+	d.pauseUntil = 0
+	d.commit()
+	last := reads.txns[len(reads.txns)-1]
+	if len(last.Changes) != 1 || last.Changes[0].Put != ledger.Key("job-1") || reads.reads != 0 {
+		t.Fatalf("%+v is written, %d reads", last.Changes, reads.reads)
+	}
+	content := *j.Job
+	content.Placed = nil
+	reads.item = protocol.Item{Key: ledger.Key("job-1"), Value: content.Encode(), Version: 9}
+	if fenced {
+		reads.answer(ok(9))
+	} else { // an earlier copy of it has done so
+		reads.answer(statestore.Reply[protocol.TxnAnswer]{Status: http.StatusConflict, Value: protocol.TxnAnswer{Failed: []string{ledger.Key("job-1")}}})
+	}
+	d.pauseUntil = 0
+	d.commit()
+	if reads.reads != 1 || j.reread || j.version != 9 || len(j.Placed) != 0 {
+		t.Fatalf("%d reads, to be read again %v, version %d, placed %v", reads.reads, j.reread, j.version, j.Placed)
+	}
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -18,10 +18,14 @@
 	// dividing tells that the parts of a record are being written whose undivided form is
 	// the valid one until its head says otherwise: see divide.
 	dividing bool
+	// strayParts tells that parts may be stored though the record is undivided.
+	strayParts bool
 	// partsUnread tells that a new leader hasn't read the parts yet.
 	partsUnread bool
 
-	reread        bool // the record must be read before anything else happens
+	reread bool // the record must be read before anything else happens
+	// fence tells that the head has to be written anew before that: see fenceUnit.
+	fence         bool
 	reading       bool
 	followedEvent *protocol.Event // what was followed while a change was in flight
 
@@ -113,7 +117,7 @@
 
 // retire drops a job that is over and nowhere any more.
 func (d *Dispatch) retire(j *job) {
-	if j.Final() && len(j.Placed) == 0 && j.clean() {
+	if j.Final() && len(j.Placed) == 0 && j.clean() && !j.strayParts {
 		d.retired[j.Spec.ID] = j.version
 		delete(d.jobs, j.Spec.ID)
 	}
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -86,6 +86,7 @@
 	inCall      bool
 	inHeartbeat bool
 	uncertain   bool
+	replica     bool // of a service, even once that is over and forgotten
 	startAt     clock.Micros
 	killAt      clock.Micros
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -109,7 +109,7 @@
 				// With a stop wanted, a start that may still arrive is made to
 				// arrive now: it then has no effect later.
 				orders = append(orders, protocol.Order{Verb: protocol.VerbStart, Task: name, Attempt: p.Attempt})
-				s.startAt = now
+				s.startAt, s.replica = now, j.Spec.Service()
 				s.inHeartbeat = s.inHeartbeat || heartbeat
 				s.inCall = s.inCall || !heartbeat
 			}
@@ -149,7 +149,7 @@
 			continue
 		}
 		m.ended++
-		if heartbeat && (j == nil || j.recorded(ref.task)) && !d.mayArrive(m, ref) && !d.mayRepeat(m, ref, t) {
+		if heartbeat && (j == nil || j.recorded(ref.task)) && !d.mayArrive(m, ref) && !mayRepeat(m, ref, t) {
 			// The outcome is durable and no start can bring the attempt back.
 			forgets = append(forgets, protocol.Order{Verb: protocol.VerbForget, Task: name, Attempt: ref.attempt})
 		}
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -149,10 +149,12 @@
 // start it where nobody expects it. What was started in earlier terms is safe,
 // since workers refuse older epochs, and so is what is done, since it doesn't
 // run again. Only a machine with very many such attempts takes the risk.
-func (d *Dispatch) mayRepeat(m *machine, ref taskRef, t protocol.TaskReport) bool {
-	j := d.jobs[ref.job]
-	final := t.Cause == protocol.CauseDone && (j == nil || !j.Spec.Service()) // a replica runs again after any end
-	return !final && m.sent[ref] != nil && len(m.tasks) < maxRemembered
+func mayRepeat(m *machine, ref taskRef, t protocol.TaskReport) bool {
+	s := m.sent[ref]
+	if s == nil || len(m.tasks) >= maxRemembered {
+		return false
+	}
+	return t.Cause != protocol.CauseDone || s.replica // which runs again after any end
 }
 
 // maxRemembered keeps reports well within their size limit.
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -226,7 +226,7 @@
 
 // replaceContent makes a record's content what is known of its job.
 func (d *Dispatch) replaceContent(j *job, content *ledger.Job, version int64) {
-	j.Job, j.reread = content, false
+	j.Job, j.reread, j.fence = content, false, false
 	j.storedValue.replaced(version)
 	j.runningStale = true
 	clear(j.proposed)
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -78,13 +78,17 @@
 	}
 }
 
-// The end of a replica, done or not, isn't forgotten in the term that started it: a late
-// copy of the start would run it again beside its next attempt.
+// The end of a replica, done or not, isn't forgotten in the term that started it, also once
+// the service is over: a late copy of the start would run it again.
 func TestEndsOfReplicasAreRemembered(t *testing.T) {
-	d, _, m := service(t)
-	ref := taskRef{"job-1", 0, 1}
-	m.sent[ref] = &sent{}
-	if !d.mayRepeat(m, ref, protocol.TaskReport{Cause: protocol.CauseDone}) {
+	d, j, m := service(t)
+	d.place(j, ledger.Placement{Task: 1, Attempt: 1, Machine: "m-1", Session: 1})
+	j.durable = j.changed
+	m.settled = false
+	d.orders(m, true)
+	ref := taskRef{"job-1", 1, 1}
+	delete(d.jobs, "job-1")
+	if !mayRepeat(m, ref, protocol.TaskReport{Cause: protocol.CauseDone}) {
 		t.Error("a replica that ended as done counts as one that doesn't run again")
 	}
 }
--- a/internal/dispatch/writes.go
+++ b/internal/dispatch/writes.go
@@ -43,8 +43,7 @@
 // Urgencies of changes of one rank.
 const (
 	urgentWhole   = iota // a whole job waits for it
-	urgentStart          // some tasks of a job wait for it
-	urgentDivide         // a job starts nothing more until then
+	urgentStart          // some tasks of a job wait for it, or all while it is divided
 	urgentEnds           // ends of some tasks among many, that nobody waits for
 	urgentRemoval        // of parts that nobody needs any more
 )
@@ -62,9 +61,14 @@
 	var units []unit
 	for _, j := range inOrder(d.jobs) {
 		switch {
+		case j.reread && j.fence:
+			units = append(units, d.fenceUnit(j)...)
 		case j.reread:
 			d.readAgain(j)
 		case j.partsUnread:
+		case j.strayParts && !j.reading:
+			d.findStrayParts(j)
+			units = append(units, d.unitsOf(j)...)
 		default:
 			units = append(units, d.unitsOf(j)...)
 		}
@@ -72,6 +76,18 @@
 	return units
 }
 
+// fenceUnit writes the head of a divided record anew before its parts are read. Changes of
+// parts that had no answer depend on the head's version: they can't be carried out any more
+// after it, while a read before it may not show them yet.
+func (d *Dispatch) fenceUnit(j *job) []unit {
+	v := &j.storedValue
+	if v.inFlight {
+		return nil
+	}
+	v.touch(d.now())
+	return []unit{{[]write{{j: j, v: v, part: head, changed: v.changed}}, protocol.RankOf(j.Spec.Rank), urgentWhole, v.dirtyAt}}
+}
+
 // unitsOf are the changes of one job that are due.
 func (d *Dispatch) unitsOf(j *job) []unit {
 	var units []unit
@@ -153,7 +169,7 @@
 func headUrgency(j *job) int {
 	switch {
 	case j.dividing:
-		return urgentDivide
+		return urgentStart
 	case j.Final() || j.Spec.Gang() || len(j.fresh) > 0 && len(j.fresh) == len(j.Placed):
 		return urgentWhole
 	case len(j.fresh) > 0:
@@ -163,10 +179,7 @@
 }
 
 func partUrgency(j *job, v *storedValue) int {
-	switch {
-	case j.dividing:
-		return urgentDivide
-	case len(v.fresh) > 0:
+	if j.dividing || len(v.fresh) > 0 {
 		return urgentStart
 	}
 	return urgentEnds
--- a/internal/planner/evict.go
+++ b/internal/planner/evict.go
@@ -68,7 +68,9 @@
 		return false
 	}
 	if v.Rank > j.Rank {
-		return true
+		// A team that is owed its guarantee would have the room back at once, and so on.
+		owed := v.Within && !j.Within && v.Spec.Team != j.Spec.Team && !j.Spec.Service()
+		return !owed
 	}
 	return r.Borrowed && v.Spec.Team != j.Spec.Team && j.Within
 }
