--- a/internal/planner/evict.go
+++ b/internal/planner/evict.go
@@ -62,17 +62,16 @@
 }
 
 // yields tells whether a running task may be stopped for j: work of a lower
-// rank, or what another team borrowed while j's team is owed its guarantee.
+// rank, or what another team borrowed, in j's rank, while j's team is owed its guarantee.
 func (p *planning) yields(v *Job, r Running, j *Job) bool {
 	if v.ID == j.ID || r.Stopping {
 		return false
 	}
 	if v.Rank > j.Rank {
-		// A team that is owed its guarantee would have the room back at once, and so on.
-		owed := v.Within && !j.Within && v.Spec.Team != j.Spec.Team && !j.Spec.Service()
-		return !owed
+		return true
 	}
-	return r.Borrowed && v.Spec.Team != j.Spec.Team && j.Within
+	// What goes before j in the queue would take the room back at once, and so on.
+	return r.Borrowed && v.Rank == j.Rank && v.Spec.Team != j.Spec.Team && j.Within
 }
 
 // shrink takes tasks from lower arrays as evenly as possible, the youngest
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -597,3 +597,19 @@
 		t.Fatalf("placed %v", plan.Places)
 	}
 }
+
+// Work that a team is owed its guarantee for makes borrowed work of its own rank yield, and
+// leaves that of higher ranks alone: that goes before it in the queue, would take the room
+// back at once and be stopped again, hundreds of times.
+func TestGuaranteesLeaveHigherRanksAlone(t *testing.T) {
+	for rank, stops := range map[int]int{0: 0, 2: 1} {
+		owed := array("job-o", 2, 1, 4)
+		owed.Spec.Team, owed.Within = "owed", true
+		borrower := array("job-b", rank, 2, 4, Running{Task: 0, Machine: "m0", Borrowed: true}, Running{Task: 1, Machine: "m0", Borrowed: true})
+		borrower.Spec.Team = "other"
+		plan := Make(Snapshot{Jobs: []Job{owed, borrower}, Machines: machines(1, 8, 0)})
+		if len(plan.Stops) != stops {
+			t.Errorf("rank %d: stopped %v", rank, plan.Stops)
+		}
+	}
+}
