--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -24,8 +24,8 @@
 	goodRun = 30 * clock.Second
 	// The first restart is immediate; each short run after it doubles the wait.
 	firstRestartPause = clock.Second
-	maxRestartPause   = 60 * clock.Second
-	maxRestartDoubled = 6
+	maxRestartPause   = 30 * clock.Second
+	maxRestartDoubled = 5
 	restartJitter     = 0.25
 )
 
