Tidy after reading the whole change once more: one piece for what stood twice

Off the path of each plan: a gang's startable tasks were looked for twice, and the room in records of jobs that have nothing pending.

--- a/internal/dispatch/aims.go
+++ b/internal/dispatch/aims.go
@@ -130,12 +130,17 @@
 	return tier, latest - ends
 }
 
+// typeHolds tells that a job may use a machine type and a task of it fits when it is empty.
+func typeHolds(t protocol.MachineType, s *protocol.JobSpec) bool {
+	return planner.Needs(s).Fits(fleet.Whole(t)) && (len(s.Types) == 0 || slices.Contains(s.Types, t.Name))
+}
+
 // slowestFetchS is how long a GB of image takes on the slowest type that the job
 // may use, in seconds.
 func (d *Dispatch) slowestFetchS(s *protocol.JobSpec) float64 {
 	slowest := 0.0
 	for _, t := range d.catalogue {
-		if t.FetchGBPerS > 0 && planner.Needs(s).Fits(fleet.Whole(t)) && (len(s.Types) == 0 || slices.Contains(s.Types, t.Name)) {
+		if t.FetchGBPerS > 0 && typeHolds(t, s) {
 			slowest = max(slowest, 1/t.FetchGBPerS)
 		}
 	}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -36,7 +36,7 @@
 		d.add(&t, u)
 	}
 	if len(t.writes) > 0 {
-		d.send(t)
+		d.send(t.Txn, func(r statestore.Reply[protocol.TxnAnswer]) { d.committed(t.writes, r) })
 	}
 }
 
@@ -66,8 +66,7 @@
 	for i := range u.writes {
 		w := &u.writes[i]
 		changes[i] = w.change()
-		n := len(changes[i].Value)
-		size += n
+		size += len(changes[i].Value)
 		if d.tooLarge(w, changes[i].Value, limit) {
 			return
 		}
@@ -78,7 +77,7 @@
 	t.size = size
 	for i, w := range u.writes {
 		if w.part != head {
-			t.guard(ledger.Key(w.j.Spec.ID), w.j.version)
+			t.guard(ledger.Key(w.j.Spec.ID), w.guard)
 		}
 		t.guard(w.key(), w.v.version)
 		t.Changes = append(t.Changes, changes[i])
@@ -104,16 +103,16 @@
 	return true
 }
 
-// send commits a transaction.
-func (d *Dispatch) send(t transaction) {
+// send commits a transaction, one at a time.
+func (d *Dispatch) send(t protocol.Txn, answered func(statestore.Reply[protocol.TxnAnswer])) {
 	d.committing = true
 	epoch := d.term.Epoch
-	d.store.Commit(statestore.ForLeader, t.Txn, func(r statestore.Reply[protocol.TxnAnswer]) {
+	d.store.Commit(statestore.ForLeader, t, func(r statestore.Reply[protocol.TxnAnswer]) {
 		if d.term.Epoch != epoch {
 			return
 		}
 		d.committing = false
-		d.committed(t.writes, r)
+		answered(r)
 		d.wake()
 	})
 }
@@ -133,13 +132,7 @@
 		t.Guards = append(t.Guards, protocol.Guard{Key: key, Version: version})
 		t.Changes = append(t.Changes, protocol.Change{Delete: key})
 	}
-	d.committing = true
-	epoch := d.term.Epoch
-	d.store.Commit(statestore.ForLeader, t, func(r statestore.Reply[protocol.TxnAnswer]) {
-		if d.term.Epoch != epoch {
-			return
-		}
-		d.committing = false
+	d.send(t, func(r statestore.Reply[protocol.TxnAnswer]) {
 		switch r.Status {
 		case http.StatusOK:
 			for _, c := range t.Changes {
@@ -153,7 +146,6 @@
 		default:
 			d.pauseUntil = d.now() + retryDelay
 		}
-		d.wake()
 	})
 }
 
--- a/internal/dispatch/divide.go
+++ b/internal/dispatch/divide.go
@@ -28,7 +28,8 @@
 	}
 	limit, _ := d.recordLimits()
 	for _, j := range inOrder(d.jobs) {
-		if j.PartSize == 0 && !j.over() && j.Room(limit) < j.PendingCount() {
+		pending := j.PendingCount()
+		if j.PartSize == 0 && !j.over() && pending > 0 && j.Room(limit) < pending {
 			d.divide(j)
 		}
 	}
@@ -104,8 +105,8 @@
 
 // cancelDivided takes a cancellation of a divided record: the head is all that a user's
 // node changes, and what is known of the tasks stays.
-func (d *Dispatch) cancelDivided(j *job, status string, cancelledAt, version int64) {
-	j.Status, j.CancelledAt = status, cancelledAt
+func (d *Dispatch) cancelDivided(j *job, content *ledger.Job, version int64) {
+	j.Status, j.CancelledAt = content.Status, content.CancelledAt
 	j.storedValue.replaced(version)
 	d.noteCancelled(j, d.confirmedAt(j.Job))
 	for _, p := range inOrder(j.Placed) {
@@ -120,9 +121,7 @@
 func (d *Dispatch) partsRead(j *job) {
 	j.partsUnread = false
 	if j.Spec.Gang() && j.Done.Len() > 0 {
-		for task := range j.Spec.Tasks {
-			j.Done.Add(task) // they complete together
-		}
+		j.noteDone(0)
 	}
 	d.placeContent(j)
 	d.finish(j)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -138,15 +138,20 @@
 		pause *= clock.Micros(1) << min(j.failures-3, 6)
 	}
 	j.notBefore = max(j.notBefore, d.now()+min(pause, 60*clock.Second))
+}
+
+// maxAvoided is how many machines a job fails on before they are taken to be good.
+const maxAvoided = 8
+
+// avoidMachine keeps a job off a machine on which it failed.
+func (j *job) avoidMachine(name string) {
+	j.avoid[name] = true
 	if len(j.avoid) > maxAvoided {
 		// It failed wherever it went: the machines aren't at fault.
 		clear(j.avoid)
 	}
 }
 
-// maxAvoided is how many machines a job fails on before they are taken to be good.
-const maxAvoided = 8
-
 // returnRoom lets those who made room for a job have it back first.
 func (d *Dispatch) returnRoom(j *job) {
 	for _, id := range j.Lenders {
--- a/internal/dispatch/reconcile.go
+++ b/internal/dispatch/reconcile.go
@@ -245,7 +245,7 @@
 		d.startFailed(m, j, p, cause, 0)
 	case protocol.CauseError:
 		m.faults[j.Spec.ID] = true
-		j.avoid[m.name] = true
+		j.avoidMachine(m.name)
 		d.startFailed(m, j, p, cause, clock.Second)
 		d.judge(m)
 	case protocol.CauseNoRoom:
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -215,7 +215,7 @@
 // this leader's own that had no answer, and the parts have to be read as well.
 func (d *Dispatch) adoptDivided(j *job, content *ledger.Job, version int64) {
 	if content.Status == protocol.StatusCancelled && !j.reread && !j.dividing && content.PartSize == j.PartSize {
-		d.cancelDivided(j, content.Status, content.CancelledAt, version)
+		d.cancelDivided(j, content, version)
 		return
 	}
 	j.reread = true
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -4,10 +4,8 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
-	"slices"
 
 	"postpoint/internal/clock"
-	"postpoint/internal/fleet"
 	"postpoint/internal/ledger"
 	"postpoint/internal/planner"
 	"postpoint/internal/protocol"
@@ -49,10 +47,7 @@
 		"ran_s", ran.Seconds(), "failures", r.failures)
 	j.Cause = cause + " on " + m.name
 	if cause == protocol.CauseError {
-		j.avoid[m.name] = true
-		if len(j.avoid) > maxAvoided {
-			clear(j.avoid) // it fails wherever it runs: the machines aren't at fault
-		}
+		j.avoidMachine(m.name)
 	}
 	return true
 }
@@ -230,17 +225,14 @@
 // keeps its whole machine, so that only those count which cost about as little as any.
 func (d *Dispatch) replicaTypes(s *protocol.JobSpec) []string {
 	cheapest := math.MaxFloat64
-	fits := func(t protocol.MachineType) bool {
-		return planner.Needs(s).Fits(fleet.Whole(t)) && (len(s.Types) == 0 || slices.Contains(s.Types, t.Name))
-	}
 	for _, t := range d.catalogue {
-		if fits(t) {
+		if typeHolds(t, s) {
 			cheapest = min(cheapest, t.Price)
 		}
 	}
 	var names []string
 	for _, t := range d.catalogue {
-		if fits(t) && t.Price <= replicaPriceTimes*cheapest {
+		if typeHolds(t, s) && t.Price <= replicaPriceTimes*cheapest {
 			names = append(names, t.Name)
 		}
 	}
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -114,15 +114,13 @@
 	pj.StartS = d.startLeft(j)
 	pj.Unmet = j.wantedAt != 0 && now > j.wantedFrom+unmetTime && now <= j.wantedAt+wantedGap
 	if missing := j.PendingCount() > 0; missing && !j.dividing && (!j.Spec.Gang() || len(j.Placed) == 0 || d.completable(j)) {
-		pj.Pending = j.Startable(limit, planTasks)
-		pj.Limit = len(pj.Pending)
-		switch {
-		case j.Spec.Gang():
+		if j.Spec.Gang() {
 			pj.Pending = j.Pending(j.Spec.Tasks)
 			pj.Limit = len(j.Startable(limit, j.Spec.Tasks))
 			pj.Avoid = d.leftOn(j)
-		case j.Spec.Service():
-			pj.Pending = j.restartable(pj.Pending, now)
+		} else {
+			pj.Pending = j.restartable(j.Startable(limit, planTasks), now)
+			pj.Limit = len(pj.Pending)
 		}
 	}
 	if len(pj.Pending) == 0 {
--- a/internal/dispatch/writes.go
+++ b/internal/dispatch/writes.go
@@ -66,10 +66,10 @@
 		case j.reread:
 			d.readAgain(j)
 		case j.partsUnread:
-		case j.strayParts && !j.reading:
-			d.findStrayParts(j)
-			units = append(units, d.unitsOf(j)...)
 		default:
+			if j.strayParts {
+				d.findStrayParts(j)
+			}
 			units = append(units, d.unitsOf(j)...)
 		}
 	}
--- a/internal/ledger/parts.go
+++ b/internal/ledger/parts.go
@@ -98,7 +98,7 @@
 	// Done is a bitmap in hexadecimal digits.
 	Done        string `msgpack:"done,omitempty"`
 	NextAttempt int64  `msgpack:"next"`
-	// Shift and Try are those of every placement that names no others.
+	// Session and Attempt are those of every placement that names no others.
 	Session int64  `msgpack:"shift,omitempty"`
 	Attempt int64  `msgpack:"try,omitempty"`
 	Placed  string `msgpack:"placed,omitempty"`
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -39,19 +39,26 @@
 	})
 }
 
-// What a node asks and is answered comes through whole; anything longer than
-// its frame may be, or shorter than it says, does not.
-func TestFramesComeThrough(t *testing.T) {
-	want := intake.Request{Kind: intake.Cancel, ID: "job-000412", Body: []byte{}, Forwarded: true}
-	whole := frame(encodeRequest(want))
-	payload, err := readFrame(bytes.NewReader(whole))
+// mustReadRequest reads a request from its whole frame.
+func mustReadRequest(t *testing.T, raw []byte) intake.Request {
+	t.Helper()
+	payload, err := readFrame(bytes.NewReader(raw))
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := decodeRequest(payload)
+	r, err := decodeRequest(payload)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return r
+}
+
+// What a node asks and is answered comes through whole; anything longer than
+// its frame may be, or shorter than it says, does not.
+func TestFramesComeThrough(t *testing.T) {
+	want := intake.Request{Kind: intake.Cancel, ID: "job-000412", Body: []byte{}, Forwarded: true}
+	whole := frame(encodeRequest(want))
+	got := mustReadRequest(t, whole)
 	if d := cmp.Diff(want, got); d != "" {
 		t.Fatal(d)
 	}
@@ -73,14 +80,7 @@
 		"pp01\x00\x00\x00\x05\x01\x00\x00\x81\xc0":                   {Kind: intake.Submit, Body: []byte("\x81\xc0"), Forwarded: true},
 		"pp01\x00\x00\x00\x0b\x04\x00\x00\x00\x00\x00\x00\x00\x0fB@": {Kind: intake.Attest, Body: []byte("\x00\x00\x00\x00\x00\x0fB@"), Forwarded: true},
 	} {
-		payload, err := readFrame(strings.NewReader(raw))
-		if err != nil {
-			t.Fatal(err)
-		}
-		got, err := decodeRequest(payload)
-		if err != nil {
-			t.Fatal(err)
-		}
+		got := mustReadRequest(t, []byte(raw))
 		if d := cmp.Diff(want, got); d != "" {
 			t.Fatal(d)
 		}
