--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -10,6 +10,7 @@
 
 	"postpoint/internal/actor"
 	"postpoint/internal/agent"
+	"postpoint/internal/cells"
 	"postpoint/internal/clock"
 	"postpoint/internal/cloud"
 	"postpoint/internal/intake"
@@ -24,6 +25,8 @@
 type Options struct {
 	// LeaseTTL is how long leadership outlasts its last renewal.
 	LeaseTTL clock.Micros
+	// Cells lists the cells of a group, nil for a cell on its own.
+	Cells *cells.Directory
 }
 
 // Validate checks the options against the platform's settings.
@@ -31,6 +34,9 @@
 	if o.LeaseTTL < clock.Second || o.LeaseTTL > s.Deployment.Workers.Lease() {
 		return fmt.Errorf("--lease-ttl-ms: %d is not between a second and the workers' lease", o.LeaseTTL/clock.Millisecond)
 	}
+	if least, have := MinSockets+peer.CellSockets, s.Deployment.MachineLimits.MaxSockets; o.Cells != nil && have < least {
+		return fmt.Errorf("deployment.machine_limits.max_sockets: %d is too small with cells, at least %d is needed", have, least)
+	}
 	return nil
 }
 
@@ -85,11 +91,14 @@
 	n := assemble(s, o)
 	n.Intake.RefuseWhen(memoryFull(s.Deployment.MachineLimits.MemoryMb))
 	n.Start()
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	go func() { failed <- peer.Serve(s.InternalAddr, n.Intake) }()
 	go func() {
-		failed <- intake.Serve(s.Bind, clientConnections(s.Deployment.MachineLimits), n.Intake, n.Dispatch)
+		failed <- intake.Serve(s.Bind, o.clientConnections(s.Deployment.MachineLimits), n.Intake, n.Dispatch)
 	}()
+	if o.Cells != nil {
+		go func() { failed <- peer.ServeCells(o.Cells.Own.Address(s.Node), n.Dispatch) }()
+	}
 	return <-failed
 }
 
@@ -112,6 +121,8 @@
 		Cloud:      cloud.New(s.Outside.Cloud).For(boxes.Dispatch),
 		Agent:      agent.New().For(boxes.Dispatch),
 		Forward:    peer.NewForwarder(peers, boxes.Intake).Forward,
+		Cells:      o.Cells,
+		Exchange:   peer.NewCellClient(boxes.Dispatch),
 		Everyone: func(own *intake.Intake, back clock.Micros, done func([]intake.Attestation, bool)) {
 			everyone.Everyone(own, intake.AttestRequest(back), func(answers []intake.Answer, ok bool) {
 				done(intake.Attestations(answers, ok))
@@ -122,6 +133,9 @@
 
 // clientConnections is how many connections of users, workers and health checks the
 // machine has sockets for.
-func clientConnections(l settings.MachineLimits) int {
+func (o Options) clientConnections(l settings.MachineLimits) int {
+	if o.Cells != nil {
+		return l.MaxSockets - reservedSockets - peer.CellSockets
+	}
 	return l.MaxSockets - reservedSockets
 }
--- /dev/null
+++ b/internal/delegation/message.go
@@ -0,0 +1,143 @@
+package delegation
+
+import (
+	"postpoint/internal/clock"
+	"postpoint/internal/ledger"
+	"postpoint/internal/planner"
+	"postpoint/internal/protocol"
+)
+
+// Cells speak in one kind of exchange, which a host's leader begins, as workers begin theirs
+// with a leader: the host reports what it has of the home cell's work, and the answer says
+// what it may go on with and what else it may take. An answer that comes too late is dropped.
+
+// Report is what a host tells a home cell.
+type Report struct {
+	Host, Home string
+	// Epoch and Counter order the reports of a host.
+	Epoch, Counter int64
+	// Clear is how long after the end of a permission the host takes at most until nothing
+	// that needed it is on its machines.
+	Clear clock.Micros
+	Load  Load
+	Tasks []Status
+}
+
+// Status is one delegation as its host has it. What it says of completed tasks, and of tasks
+// that a closed delegation doesn't hold, is in the host's records and never changes.
+type Status struct {
+	Number int64
+	Job    string
+	// Closed delegations start nothing more: what is neither completed nor held is home's.
+	Closed bool
+	Done   ledger.Ranges
+	// Held are tasks that may be on the host's machines.
+	Held ledger.Ranges
+	// Running and Waiting count the tasks that run and that wait for a place.
+	Running, Waiting int
+	// Reason says why it was refused or given back.
+	Reason string
+}
+
+// Load is how much a host could take. It is advice only: nothing depends on its being true.
+type Load struct {
+	// Room is how much more the host's operators let others use; memory isn't bounded.
+	Room planner.Amounts
+	// Short is for how long work of the host's own has been waiting for room.
+	Short clock.Micros
+	// MaxTasks is how many tasks of an ordinary job one delegation's record has room for.
+	MaxTasks int
+	Types    []TypeLoad
+}
+
+// TypeLoad is what a host has of one machine type.
+type TypeLoad struct {
+	Type protocol.MachineType // without prices
+	// Free are the amounts that are free on machines that are up, beyond the reserve.
+	Free planner.Amounts
+	// Refused tells that its cloud has none left, as far as is known.
+	Refused bool
+}
+
+// Verdict is what a home cell says of a delegation.
+type Verdict byte
+
+// The verdicts. A host starts nothing of a delegation before the first Continue.
+const (
+	// Continue lets the host start and keep the delegation's tasks for a time.
+	Continue Verdict = iota + 1
+	// Close lets it keep what runs for that time, and start nothing more.
+	Close
+	// Stop has it end what runs, saving progress, and lets it keep that for the time.
+	Stop
+	// Cancel ends all of it at once.
+	Cancel
+	// Forget ends what is left, and has the record removed: home has taken what it needs.
+	Forget
+)
+
+func (v Verdict) String() string {
+	switch v {
+	case Continue:
+		return "continue"
+	case Close:
+		return "close"
+	case Stop:
+		return "stop"
+	case Cancel:
+		return "cancel"
+	case Forget:
+		return "forget"
+	}
+	return "unknown"
+}
+
+// Ruling is the verdict on one delegation.
+type Ruling struct {
+	Number  int64
+	Verdict Verdict
+	// For is how long the permission lasts from the moment that the report was sent.
+	For clock.Micros
+}
+
+// Offer asks a host to take tasks. It permits nothing by itself.
+type Offer struct {
+	Number int64
+	Spec   protocol.JobSpec
+	Tasks  ledger.Ranges
+	// Age is the time since the job's submission.
+	Age clock.Micros
+}
+
+// Result says whether a report was taken.
+type Result byte
+
+// The results.
+const (
+	Taken Result = iota + 1
+	// NotLeader names the node to ask, if it is known.
+	NotLeader
+)
+
+// Answer is what a home cell answers a report.
+type Answer struct {
+	Result  Result
+	Leader  string // the leader's address, if another node leads
+	Rulings []Ruling
+	Offers  []Offer
+}
+
+// Bounds of a message.
+const (
+	// MaxPerHost is how many delegations one cell may have with one other.
+	MaxPerHost = 32
+	// MaxReported is how many a report names: those that are over stay for a moment.
+	MaxReported = 2 * MaxPerHost
+	// MaxTasks is how many tasks a delegation has at most.
+	MaxTasks = 256
+	// maxTypes is how many machine types a load describes.
+	maxTypes = 24
+	maxZones = 8
+	// maxReason is the length of a reason.
+	maxReason = 120
+)
--- a/internal/dispatch/allowance.go
+++ b/internal/dispatch/allowance.go
@@ -58,9 +58,12 @@
 func (d *Dispatch) mayRenew(m *machine) bool {
 	for id, tasks := range m.placed {
 		j := d.jobs[id]
-		if j == nil || !j.cancelled || d.now() <= j.cancelledAt+d.set.Deployment.Workers.KeepAlive() {
+		if j == nil || !d.onlyEnds(j) {
 			continue
 		}
+		if !j.mustEnd() {
+			return false // a guest that nobody permits and nobody ends, for a moment
+		}
 		for _, p := range tasks {
 			if _, reported := m.tasks[taskRef{id, p.Task, p.Attempt}]; !reported && p.Session >= m.session {
 				return false
@@ -70,6 +73,14 @@
 	return true
 }
 
+// onlyEnds tells that a lease may be renewed only by an answer that ends what is left of a job.
+func (d *Dispatch) onlyEnds(j *job) bool {
+	if j.permit != nil {
+		return !j.permit.MayKeep(d.now())
+	}
+	return j.cancelled && d.now() > j.cancelledAt+d.set.Deployment.Workers.KeepAlive()
+}
+
 // noteCancelled keeps when a cancellation was confirmed, or an earlier time: it
 // isn't counted from when this leader came to know of it, since each change of
 // leader would then put the end of its tasks off.
@@ -96,6 +107,9 @@
 // holds them until it is returned. A new leader gives machines the time to speak for
 // themselves, as long as the return can still be in time.
 func (d *Dispatch) returnAt(j *job) clock.Micros {
+	if j.permit != nil {
+		return d.returnGuestAt(j)
+	}
 	w := d.set.Deployment.Workers
 	latest := clock.FromSeconds(w.CancelS) - returnTime
 	return j.cancelledAt + max(min(w.Lease()+3*clock.Second, latest), min(d.begunAt+heedTime-j.cancelledAt, latest))
@@ -116,7 +130,7 @@
 	var left []taskRef
 	for ref, t := range m.tasks {
 		j := d.jobs[ref.job]
-		if j != nil && t.Status != protocol.TaskExited && (j.cancelled || leads && j.Final()) {
+		if j != nil && t.Status != protocol.TaskExited && (j.mustEnd() || leads && j.Final()) {
 			left = append(left, ref)
 		}
 	}
@@ -185,8 +199,11 @@
 			continue
 		}
 		for _, p := range inOrder(j.Placed) {
+			if p.Host() != "" {
+				continue // that cell ends it, or has no permission for long
+			}
 			m := d.machine(p.Machine)
-			if j.cancelled && now > d.returnAt(j) {
+			if j.mustEnd() && now > d.returnAt(j) {
 				m.overdue = true
 				d.release(m, "cancelled tasks don't end")
 			}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -251,6 +251,7 @@
 		}
 		if w.part == head {
 			w.j.fence = false
+			d.noteGuestStored(w.j)
 		}
 		w.v.fresh = slices.DeleteFunc(w.v.fresh, func(task int) bool {
 			p, placed := w.j.Placed[task]
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 
 	"postpoint/internal/actor"
 	"postpoint/internal/agent"
+	"postpoint/internal/cells"
 	"postpoint/internal/clock"
 	"postpoint/internal/cloud"
 	"postpoint/internal/leadership"
@@ -66,7 +67,15 @@
 	pauseUntil clock.Micros // after a refusal of the state service
 	renting    fleetState
 	views      []planner.Machine // of the last snapshot
-	random     *rand.Rand
+	// delegations are the tasks of this cell's jobs that other cells run, by number.
+	delegations map[int64]*delegated
+	// delegationUnreadable tells that a delegation's record makes no sense.
+	delegationUnreadable bool
+	numbers              numberBlock
+	saving               bool // delegations' records are being written
+	spillAt              clock.Micros
+	links                map[string]*cellLink // to other cells, by their names
+	random               *rand.Rand
 	// deferring tells that reports wait, until the records are read: see deferReport.
 	deferring bool
 	deferred  []func()
@@ -92,6 +101,9 @@
 	// learnedOps is how many changes a transaction may have as far as is known, 0: as set.
 	tightened  bool
 	learnedOps int
+	// directory lists the cells, nil if they are switched off; exchange reaches them.
+	directory *cells.Directory
+	exchange  Exchanger
 }
 
 // New makes the actor. deposed is told of higher epochs, resign asks to give
@@ -174,6 +186,7 @@
 	slog.Info("taking over", "epoch", d.term.Epoch)
 	d.jobs, d.machines, d.roster, d.released = map[string]*job{}, map[string]*machine{}, nil, map[string]clock.Micros{}
 	d.unreadable, d.retired, d.orphans = map[string]bool{}, map[string]int64{}, map[string]int64{}
+	d.beginCells()
 	d.answerDeferred()
 	d.deferring = true
 	d.loaded, d.committing, d.waking, d.shared = false, false, false, false
@@ -238,8 +251,10 @@
 	if d.term.Epoch == 0 {
 		return
 	}
+	d.checkGuests()
 	d.endCancelled()
 	d.seekAttestation()
+	d.reportToCells()
 	if d.leads() {
 		d.expire()
 		d.drain()
@@ -247,6 +262,7 @@
 		d.remind()
 		d.manageFleet()
 		d.shareCatalogue()
+		d.manageCells()
 		if d.now() > d.cordonAt+cordonTime {
 			d.cordonAt = d.now()
 			d.cordon()
--- a/internal/dispatch/divide.go
+++ b/internal/dispatch/divide.go
@@ -29,7 +29,7 @@
 	limit, _ := d.recordLimits()
 	for _, j := range inOrder(d.jobs) {
 		pending := j.PendingCount()
-		if j.PartSize == 0 && !j.over() && pending > 0 && j.Room(limit) < pending {
+		if j.PartSize == 0 && !j.over() && j.Guest == nil && pending > 0 && j.Room(limit) < pending {
 			d.divide(j)
 		}
 	}
@@ -41,7 +41,7 @@
 // meanwhile; what ends is noted in the parts.
 func (d *Dispatch) divide(j *job) {
 	limit, _ := d.recordLimits()
-	if j.inFlight || j.reread || j.strayParts || j.PartSize != 0 || len(d.orphans) > 0 {
+	if j.inFlight || j.reread || j.strayParts || j.PartSize != 0 || j.Guest != nil || len(d.orphans) > 0 {
 		return
 	}
 	size := ledger.PartSizeWithin(limit)
--- a/internal/dispatch/heartbeat.go
+++ b/internal/dispatch/heartbeat.go
@@ -69,6 +69,7 @@
 		reply(http.StatusMisdirectedRequest, protocol.Redirect{})
 		return
 	}
+	d.checkGuestsOn(m)
 	if !d.mayRenew(m) {
 		reply(http.StatusServiceUnavailable, protocol.Redirect{})
 		return
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -4,6 +4,7 @@
 	"log/slog"
 
 	"postpoint/internal/clock"
+	"postpoint/internal/delegation"
 	"postpoint/internal/ledger"
 	"postpoint/internal/planner"
 	"postpoint/internal/protocol"
@@ -36,6 +37,7 @@
 	running      []planner.Running
 	runningSince []clock.Micros
 	runningStale bool
+	elsewhere    int // tasks with other cells, counted with running
 	// brokenAttempt is a gang's try that can't be completed any more.
 	brokenAttempt int64
 	failures      int
@@ -50,8 +52,18 @@
 	stops       map[int]stop
 	returning   bool
 	moved       bool // off a machine that could be spared
-	// wantedAt is when a plan last wanted machines for it, wantedFrom since when all did.
+	// wantedAt is when a plan last wanted machines for it, wantedFrom since when all did,
+	// wantedTasks for how many tasks.
 	wantedFrom, wantedAt clock.Micros
+	wantedTasks          int
+	// permit is what may be done with a job of another cell, nil for this cell's own.
+	permit *delegation.Permit
+	// closedAt counts the record's changes at the one that closed the guest, storedDone
+	// are the tasks that are done by the stored record.
+	closedAt   int
+	storedDone ledger.Ranges
+	// backAt is when another cell last gave tasks of the job back unfinished.
+	backAt clock.Micros
 }
 
 type stop struct {
@@ -69,7 +81,21 @@
 }
 
 // over tells that nothing of the job may start or stay any more.
-func (j *job) over() bool { return j.Final() || j.cancelled }
+func (j *job) over() bool { return j.Final() || j.mustEnd() }
+
+// mustEnd tells that whatever is left of the job has to be gone in time: it was cancelled, or
+// the cell whose job it is no longer permits it.
+func (j *job) mustEnd() bool { return j.cancelled || j.permit != nil && j.permit.Ending }
+
+// rank is the job's place among ranks, 0 the highest. Jobs of other cells come after all of
+// this cell's own.
+func (j *job) rank() int {
+	rank := protocol.RankOf(j.Spec.Rank)
+	if j.Guest != nil {
+		rank += len(protocol.Ranks) + 1
+	}
+	return rank
+}
 
 // touch notes a change of what a task's value says.
 func (d *Dispatch) touch(j *job, task int) {
@@ -117,7 +143,7 @@
 
 // retire drops a job that is over and nowhere any more.
 func (d *Dispatch) retire(j *job) {
-	if j.Final() && len(j.Placed) == 0 && j.clean() && !j.strayParts {
+	if j.Final() && len(j.Placed) == 0 && j.clean() && !j.strayParts && j.permit == nil {
 		d.retired[j.Spec.ID] = j.version
 		delete(d.jobs, j.Spec.ID)
 	}
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -96,8 +96,11 @@
 	gb   float64
 }
 
-// index notes a placement at its machine.
+// index notes a placement at its machine, nil if another cell runs the task.
 func (d *Dispatch) index(j *job, p ledger.Placement) *machine {
+	if p.Host() != "" {
+		return nil
+	}
 	m := d.machine(p.Machine)
 	m.viewStale, m.settled = true, false
 	if m.placed[j.Spec.ID] == nil {
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -35,7 +35,7 @@
 					j := d.jobs[id]
 					switch {
 					case j == nil || j.reread:
-					case j.cancelled:
+					case j.mustEnd():
 						// It may hang, and what it was stopped in the middle of counts as
 						// there until it goes on or is gone.
 						m.overdue = true
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -15,7 +15,8 @@
 func (d *Dispatch) command(m *machine, session int64, orders []protocol.Order, done func(status int, answer *protocol.Report)) {
 	m.calling, m.callAgain = true, false
 	epoch := d.term.Epoch
-	d.agent.Commands(m.addr, protocol.Commands{Epoch: epoch, Session: session, Orders: orders}, d.actsUntil(), func(status int, r protocol.Report) {
+	until := min(d.actsUntil(), d.permittedUntil(orders))
+	d.agent.Commands(m.addr, protocol.Commands{Epoch: epoch, Session: session, Orders: orders}, until, func(status int, r protocol.Report) {
 		if d.term.Epoch != epoch || d.machines[m.name] != m {
 			return
 		}
@@ -105,7 +106,7 @@
 			st := d.stopping(j, p)
 			s := m.sentOf(ref)
 			name := protocol.TaskName(id, p.Task)
-			if !there && (st == nil || d.mayArrive(m, ref)) && due(s.startAt) {
+			if !there && (st == nil || d.mayArrive(m, ref)) && due(s.startAt) && (j.permit == nil || j.permit.MayStart(now)) {
 				// With a stop wanted, a start that may still arrive is made to
 				// arrive now: it then has no effect later.
 				orders = append(orders, protocol.Order{Verb: protocol.VerbStart, Task: name, Attempt: p.Attempt})
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -48,26 +48,28 @@
 			d.load(epoch, r.Value.Items[len(r.Value.Items)-1].Key, revision, began)
 			return
 		}
-		d.loadParts(epoch, "", func() { d.recordsRead(epoch, revision, began) })
+		// After the heads: only the leader writes parts, so that none is missed.
+		d.loadPages(epoch, ledger.PartsPrefix, "", d.adoptPart, func() {
+			d.loadDelegations(epoch, func() { d.recordsRead(epoch, revision, began) })
+		})
 	})
 }
 
-// loadParts reads the parts of divided records, after their heads: only the leader writes
-// parts, so that none is missed.
-func (d *Dispatch) loadParts(epoch int64, from string, done func()) {
-	d.store.List(ledger.PartsPrefix, from, func(r statestore.Reply[protocol.ItemList]) {
+// loadPages reads all keys with a prefix, page by page, for as long as it takes.
+func (d *Dispatch) loadPages(epoch int64, prefix, from string, adopt func(protocol.Item), done func()) {
+	d.store.List(prefix, from, func(r statestore.Reply[protocol.ItemList]) {
 		if d.term.Epoch != epoch {
 			return
 		}
 		if r.Status != http.StatusOK {
-			d.inTerm(retryDelay, func() { d.loadParts(epoch, from, done) })
+			d.inTerm(retryDelay, func() { d.loadPages(epoch, prefix, from, adopt, done) })
 			return
 		}
 		for _, item := range r.Value.Items {
-			d.adoptPart(item)
+			adopt(item)
 		}
 		if r.Value.More && len(r.Value.Items) > 0 {
-			d.loadParts(epoch, r.Value.Items[len(r.Value.Items)-1].Key, done)
+			d.loadPages(epoch, prefix, r.Value.Items[len(r.Value.Items)-1].Key, adopt, done)
 			return
 		}
 		done()
@@ -108,6 +110,7 @@
 	}
 	first := !d.loaded
 	d.loaded, d.loading = true, false
+	d.matchDelegations()
 	d.freshAt = began
 	if first {
 		d.answerDeferred()
@@ -162,7 +165,7 @@
 		// What this is becomes clear when our own change is answered, or the record's
 		// parts are; that it is cancelled is final.
 		j.followedEvent = &protocol.Event{Put: key, Value: raw, Version: version}
-		if err == nil && content.Status == protocol.StatusCancelled {
+		if err == nil && content.Status == protocol.StatusCancelled && content.Guest == nil {
 			d.noteCancelled(j, d.confirmedAt(content))
 		}
 		return
@@ -185,15 +188,20 @@
 func (d *Dispatch) adoptNew(id string, content *ledger.Job, version int64) {
 	// Of a divided record only the parts tell whether anything may still run.
 	unread := content.PartSize > 0 && d.loading
-	if content.Final() && len(content.Placed) == 0 && !unread {
+	if content.Final() && len(content.Placed) == 0 && !unread && content.Guest == nil {
 		return
 	}
-	d.noteClass(&content.Spec)
+	if content.Guest == nil {
+		d.noteClass(&content.Spec)
+	}
 	if d.format.Open && content.Spec.Service() {
 		content.Marked = true // it was left by a version that took it for an array
 	}
 	j := newJob()
 	j.partsUnread = unread
+	if content.Guest != nil {
+		d.welcome(j)
+	}
 	d.jobs[id] = j
 	d.replaceContent(j, content, version)
 	d.retire(j)
@@ -229,11 +237,12 @@
 	j.Job, j.reread, j.fence = content, false, false
 	j.storedValue.replaced(version)
 	j.runningStale = true
+	j.closedAt, j.storedDone = 0, content.Done.Clone()
 	clear(j.proposed)
 	if content.PartSize > 0 && len(j.parts) != j.Parts() {
 		j.makeParts()
 	}
-	if content.Status == protocol.StatusCancelled {
+	if content.Status == protocol.StatusCancelled && content.Guest == nil {
 		d.noteCancelled(j, d.confirmedAt(content))
 	}
 	if !j.partsUnread {
@@ -250,8 +259,11 @@
 			d.unplace(j, p)
 			continue
 		}
-		on[p.Machine] = d.index(j, p)
+		if m := d.index(j, p); m != nil {
+			on[p.Machine] = m
+		}
 	}
+	d.matchDelegation(j)
 	// What the machines last said still counts for what the record just said.
 	for _, m := range inOrder(on) {
 		if m.seen {
--- a/internal/dispatch/rent.go
+++ b/internal/dispatch/rent.go
@@ -24,6 +24,8 @@
 	refused   map[fleet.Kind]refusal
 	pace      *rate.Limiter // of bookings
 	downUntil clock.Micros
+	// free is what the machines of the last snapshot had left.
+	free planner.Amounts
 }
 
 // manageFleet lists, returns idle machines and carries on with releases.
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"slices"
 	"strings"
 
 	"postpoint/internal/clock"
@@ -25,7 +26,7 @@
 	d.carryOutPlaces(plan.Places)
 	d.carryOutStops(plan.Stops)
 	d.noteWants(plan.Wants)
-	d.rent(append(plan.Wants, d.cheaper(plan, snapshot)...))
+	d.rent(slices.Concat(plan.Wants, d.cheaper(plan, snapshot), d.beyondReserve(&snapshot)))
 }
 
 // makePlan plans, and takes cordoned machines back if there is need of them.
@@ -88,7 +89,7 @@
 			if j.wantedAt == 0 || d.now() > j.wantedAt+wantedGap {
 				j.wantedFrom = d.now()
 			}
-			j.wantedAt = d.now()
+			j.wantedAt, j.wantedTasks = d.now(), w.Tasks
 		}
 	}
 }
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -30,6 +30,9 @@
 	}
 	d.views = s.Machines
 	evictions := d.evictionsPossible(s.Teams)
+	if d.directory != nil {
+		d.renting.free = freeRoom(s.Machines)
+	}
 	for _, j := range inOrder(d.jobs) {
 		team := s.Teams[j.Spec.Team]
 		needs := planner.Needs(&j.Spec)
@@ -40,7 +43,7 @@
 			team.BacklogS += j.Spec.EstimateS * left.Share(team.Limit)
 		}
 		s.Teams[j.Spec.Team] = team
-		if j.over() || j.reread || j.partsUnread {
+		if j.over() || j.reread || j.partsUnread || j.permit != nil && !j.permit.MayStart(now) && len(j.Placed) == 0 {
 			continue
 		}
 		s.Jobs = append(s.Jobs, d.plannedJob(j, now, evictions))
@@ -107,13 +110,16 @@
 // plannedJob is a job as the planner is shown it.
 func (d *Dispatch) plannedJob(j *job, now clock.Micros, evictions bool) planner.Job {
 	limit, _ := d.recordLimits()
-	pj := planner.Job{ID: j.Spec.ID, Spec: &j.Spec, Rank: protocol.RankOf(j.Spec.Rank), SubmittedAt: j.SubmittedAt,
+	pj := planner.Job{ID: j.Spec.ID, Spec: &j.Spec, Rank: j.rank(), SubmittedAt: j.SubmittedAt,
 		Returning: j.returning, Waiting: now < j.notBefore, MayEvict: j.failures < 3, Avoid: j.avoid}
 	pj.Tier, pj.SlackS = d.aims(j)
 	pj.StartAim = j.Spec.Service() || d.startAim(j.Spec.Class) > 0
 	pj.StartS = d.startLeft(j)
 	pj.Unmet = j.wantedAt != 0 && now > j.wantedFrom+unmetTime && now <= j.wantedAt+wantedGap
-	if missing := j.PendingCount() > 0; missing && !j.dividing && (!j.Spec.Gang() || len(j.Placed) == 0 || d.completable(j)) {
+	pj.Running = d.runningTasks(j, now, evictions)
+	// Zones that tasks' places depend on are known only once none is with another cell.
+	zonesKnown := j.elsewhere == 0 || !j.Spec.OneZone && !j.Spec.Spread
+	if missing := j.PendingCount() > 0; missing && zonesKnown && !j.dividing && (!j.Spec.Gang() || len(j.Placed) == 0 || d.completable(j)) {
 		if j.Spec.Gang() {
 			pj.Pending = j.Pending(j.Spec.Tasks)
 			pj.Limit = len(j.Startable(limit, j.Spec.Tasks))
@@ -126,7 +132,9 @@
 	if len(pj.Pending) == 0 {
 		j.returning = false
 	}
-	pj.Running = d.runningTasks(j, now, evictions)
+	if j.permit != nil {
+		d.planGuest(j, &pj, now)
+	}
 	return pj
 }
 
@@ -155,9 +163,13 @@
 func (d *Dispatch) runningTasks(j *job, now clock.Micros, evictions bool) []planner.Running {
 	if j.runningStale {
 		j.runningStale = false
-		j.running, j.runningSince = j.running[:0], j.runningSince[:0]
+		j.running, j.runningSince, j.elsewhere = j.running[:0], j.runningSince[:0], 0
 		for _, task := range slices.Sorted(maps.Keys(j.Placed)) {
 			p := j.Placed[task]
+			if p.Host() != "" {
+				j.elsewhere++
+				continue // stopping it makes no room here
+			}
 			r := planner.Running{Task: task, Machine: p.Machine}
 			_, r.Stopping = j.stops[task]
 			since := clock.Micros(0)
@@ -192,9 +204,9 @@
 			return true
 		}
 	}
-	ranks := map[string]bool{}
+	ranks := map[int]bool{}
 	for _, j := range d.jobs {
-		ranks[j.Spec.Rank] = true
+		ranks[j.rank()] = true
 	}
 	return len(ranks) > 1
 }
@@ -248,8 +260,8 @@
 		return
 	}
 	for _, j := range youngestFirst(s) {
-		if j.Spec.Service() {
-			continue // stopping it costs its users more than a guarantee that comes later
+		if j.Spec.Service() || j.Rank > len(protocol.Ranks) {
+			continue // stopping a service costs its users more than a guarantee that comes later; guests yield by rank
 		}
 		g := s.Teams[j.Spec.Team].Guarantee
 		for i := range j.Running {
--- a/internal/dispatch/writes.go
+++ b/internal/dispatch/writes.go
@@ -85,13 +85,13 @@
 		return nil
 	}
 	v.touch(d.now())
-	return []unit{{[]write{{j: j, v: v, part: head, changed: v.changed}}, protocol.RankOf(j.Spec.Rank), urgentWhole, v.dirtyAt}}
+	return []unit{{[]write{{j: j, v: v, part: head, changed: v.changed}}, j.rank(), urgentWhole, v.dirtyAt}}
 }
 
 // unitsOf are the changes of one job that are due.
 func (d *Dispatch) unitsOf(j *job) []unit {
 	var units []unit
-	rank := protocol.RankOf(j.Spec.Rank)
+	rank := j.rank()
 	if v := &j.storedValue; !v.inFlight && v.changed != v.durable && (!j.dividing || j.partsStored()) {
 		urgency := headUrgency(j)
 		if d.now() >= v.dirtyAt+commitDelay(urgency, j) {
--- a/internal/ledger/parts.go
+++ b/internal/ledger/parts.go
@@ -205,7 +205,7 @@
 		return placed, nil
 	}
 	for text := range strings.SplitSeq(r.Placed, ";") {
-		fields := strings.Fields(text)
+		machine, fields := placeOf(strings.Fields(text))
 		p := Placement{Session: r.Session, Attempt: r.Attempt}
 		switch len(fields) {
 		case 2:
@@ -220,7 +220,7 @@
 		default:
 			return nil, errPart
 		}
-		p.Machine = fields[0]
+		p.Machine = machine
 		tasks, err := ParseRanges(fields[1])
 		if err != nil || tasks.Max() >= maxPartTasks {
 			return nil, errPart
--- a/internal/ledger/ranges.go
+++ b/internal/ledger/ranges.go
@@ -28,6 +28,9 @@
 	return i < len(r.spans) && r.spans[i].lo <= n
 }
 
+// Clone is a copy that changes independently.
+func (r *Ranges) Clone() Ranges { return Ranges{slices.Clone(r.spans), r.count} }
+
 // Len is how many numbers are in the set.
 func (r *Ranges) Len() int { return r.count }
 
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -20,7 +20,8 @@
 func Key(job string) string { return Prefix + job }
 
 // Placement is a task's place. It stays in the record until it is proven that
-// this attempt no longer is, and never again can be, on that machine.
+// this attempt no longer is, and never again can be, on that machine. A task that another
+// cell runs has that cell in place of a machine: see DelegatedTo.
 type Placement struct {
 	Task    int
 	Attempt int64
@@ -48,6 +49,10 @@
 	// Truncated tells that the placements of a cancelled job were left out, because the
 	// record had become too large for the state service.
 	Truncated bool
+	// Guest is set for a job that belongs to another cell.
+	Guest *Guest
+	// Returned counts how often other cells have given tasks of the job back unfinished.
+	Returned int
 }
 
 // record is the stored form. Its texts keep the value small: the service
@@ -63,12 +68,14 @@
 	Lenders     []string         `msgpack:"lenders,omitempty"`
 	Cause       string           `msgpack:"cause,omitempty"`
 	Truncated   bool             `msgpack:"truncated,omitempty"`
+	Returned    int              `msgpack:"returned,omitempty"`
 }
 
 // Markers stand among the placements, where earlier versions refuse them.
 const (
 	markService = "service"
 	markParts   = "parts" // followed by the size of a part
+	markGuest   = "guest" // followed by what Guest.text gives
 )
 
 // New is the record of a job just accepted.
@@ -88,7 +95,10 @@
 // divided one.
 func (j *Job) Encode() []byte {
 	r := record{Spec: j.Spec, Status: j.Status, SubmittedAt: j.SubmittedAt, CancelledAt: j.CancelledAt,
-		NextAttempt: j.NextAttempt, Lenders: j.Lenders, Cause: j.Cause, Truncated: j.Truncated}
+		NextAttempt: j.NextAttempt, Lenders: j.Lenders, Cause: j.Cause, Truncated: j.Truncated, Returned: j.Returned}
+	if j.Guest != nil {
+		r.Placed = append(r.Placed, markGuest+" "+j.Guest.text())
+	}
 	if j.Marked && j.Spec.Service() {
 		r.Placed = append(r.Placed, markService)
 	}
@@ -110,6 +120,10 @@
 		j.Marked = true
 		return true
 	}
+	if guest, isGuest := strings.CutPrefix(text, markGuest+" "); isGuest {
+		j.Guest = parseGuest(guest)
+		return j.Guest != nil
+	}
 	size, isParts := strings.CutPrefix(text, markParts+" ")
 	n, err := strconv.Atoi(size)
 	if !isParts || err != nil || n < 1 || n > maxPartTasks {
@@ -157,7 +171,8 @@
 		return nil, err
 	}
 	j := &Job{Spec: r.Spec, Status: r.Status, SubmittedAt: r.SubmittedAt, CancelledAt: r.CancelledAt,
-		NextAttempt: r.NextAttempt, Placed: map[int]Placement{}, Lenders: r.Lenders[:min(len(r.Lenders), maxLenders)], Cause: r.Cause, Truncated: r.Truncated}
+		NextAttempt: r.NextAttempt, Placed: map[int]Placement{}, Lenders: r.Lenders[:min(len(r.Lenders), maxLenders)], Cause: r.Cause,
+		Truncated: r.Truncated, Returned: r.Returned}
 	if !j.Spec.Service() {
 		j.Done = done // versions that take services for arrays note ends of their tasks
 	}
@@ -182,11 +197,11 @@
 
 // parsePlacement reads "machine session attempt tasks".
 func parsePlacement(text string) (p Placement, tasks Ranges, err error) {
-	parts := strings.Fields(text)
+	machine, parts := placeOf(strings.Fields(text))
 	if len(parts) != 4 {
 		return p, tasks, errRanges
 	}
-	p.Machine = parts[0]
+	p.Machine = machine
 	if p.Session, err = strconv.ParseInt(parts[1], 10, 64); err != nil {
 		return p, tasks, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"postpoint/internal/actor"
 	"postpoint/internal/agent"
+	"postpoint/internal/cells"
 	"postpoint/internal/clock"
 	"postpoint/internal/cloud"
 	"postpoint/internal/dispatch"
@@ -32,6 +33,10 @@
 	Cloud   cloud.API
 	Agent   agent.API
 	Forward intake.Forward
+	// Cells lists the cells, nil if they are switched off; Exchange reaches them and answers into
+	// the mailbox of Dispatch.
+	Cells    *cells.Directory
+	Exchange dispatch.Exchanger
 	// Everyone asks all nodes, given this one's own actor, for their attestations.
 	Everyone func(own *intake.Intake, back clock.Micros, done func([]intake.Attestation, bool))
 }
@@ -59,7 +64,12 @@
 			n.Intake.Elected(t.Epoch) // first: nothing is vouched for after the term has begun
 			n.Dispatch.Term(t)
 		}, n.Dispatch.Leader)
-	n.Rollout = rollout.New(boxes.Rollout, e.Store(boxes.Rollout), e.Settings.Node, e.Settings.Nodes(),
+	format := rollout.Present
+	if e.Cells != nil {
+		format = rollout.WithCells
+		n.Dispatch.JoinCells(e.Cells, e.Exchange)
+	}
+	n.Rollout = rollout.New(boxes.Rollout, e.Store(boxes.Rollout), e.Settings.Node, e.Settings.Nodes(), format,
 		n.Leadership.Start, // what this node writes comes after the format that it reads
 		func(s rollout.Status) {
 			n.Dispatch.Format(s)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -90,22 +90,27 @@
 }
 
 func ask(addr string, r intake.Request) (intake.Answer, error) {
-	c, err := net.DialTimeout("tcp4", addr, dialTime)
+	payload, err := call(addr, encodeRequest(r))
 	if err != nil {
 		return intake.Answer{}, err
 	}
+	return decodeAnswer(payload)
+}
+
+// call sends one frame on a connection of its own and reads one.
+func call(addr string, request []byte) ([]byte, error) {
+	c, err := net.DialTimeout("tcp4", addr, dialTime)
+	if err != nil {
+		return nil, err
+	}
 	defer c.Close()
 	if err := c.SetDeadline(time.Now().Add(askTime)); err != nil {
-		return intake.Answer{}, err
+		return nil, err
 	}
-	if _, err := c.Write(frame(encodeRequest(r))); err != nil {
-		return intake.Answer{}, err
+	if _, err := c.Write(frame(request)); err != nil {
+		return nil, err
 	}
-	payload, err := readFrame(c)
-	if err != nil {
-		return intake.Answer{}, err
-	}
-	return decodeAnswer(payload)
+	return readFrame(c)
 }
 
 // Serve answers other nodes. A malformed frame ends its connection only.
--- a/internal/planner/amounts.go
+++ b/internal/planner/amounts.go
@@ -7,6 +7,9 @@
 // Amounts is what tasks take and machines have.
 type Amounts struct{ Cpus, Gpus, MemoryGB float64 }
 
+// PlentyGB stands for memory that isn't bounded.
+const PlentyGB = 1e9
+
 // slack absorbs the rounding of decimal amounts.
 const slack = 1e-6
 
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -3,8 +3,9 @@
 // by side with this one until then.
 //
 // Each controller publishes the format that it reads under a key of its own. Once all
-// controllers of the settings have, any of them opens the gate: a key that is written once
-// and never removed. Until a controller has seen that key it writes the first format only.
+// controllers of the settings have, any of them opens the gate: a key that says what all of
+// them read, and is only ever raised. Until a controller has seen a format there it writes
+// none of it.
 package rollout
 
 import (
@@ -19,9 +20,15 @@
 	"postpoint/internal/statestore"
 )
 
-// Present is the format that this version reads and, once the gate is open, writes: with
-// services and divided records. The first format had neither, and nothing published it.
-const Present = 2
+// The formats of what is stored. The first had neither services nor divided records, and
+// nothing published it.
+const (
+	// Present has services and divided records.
+	Present = 2
+	// WithCells has jobs of other cells and tasks that other cells run as well. Controllers
+	// publish it only if their operators have switched cells on.
+	WithCells = 3
+)
 
 const (
 	prefix     = "rollout/"
@@ -36,8 +43,10 @@
 
 // Status is how far the upgrade is.
 type Status struct {
-	Open    bool
-	Missing []string // controllers that haven't published the present format
+	Open bool // all controllers read Present
+	// Cells tells that all of them read WithCells, too.
+	Cells   bool
+	Missing []string // controllers that haven't published what this one has
 }
 
 // published is the value of both kinds of keys.
@@ -51,6 +60,7 @@
 	store   statestore.Store
 	node    string
 	nodes   []string
+	format  int
 	// joined is called once when this node's format is published, changed whenever the
 	// status is another one.
 	joined  func()
@@ -61,15 +71,16 @@
 	reportedAt clock.Micros
 }
 
-// New makes the actor for one of the named nodes.
-func New(m actor.Mailbox, s statestore.Store, node string, nodes []string, joined func(), changed func(Status)) *Rollout {
-	return &Rollout{mailbox: m, store: s, node: node, nodes: nodes, joined: joined, changed: changed}
+// New makes the actor for one of the named nodes, which reads the given format.
+func New(m actor.Mailbox, s statestore.Store, node string, nodes []string, format int, joined func(), changed func(Status)) *Rollout {
+	return &Rollout{mailbox: m, store: s, node: node, nodes: nodes, format: format, joined: joined, changed: changed}
 }
 
 // Start begins to publish and to watch for the others.
 func (r *Rollout) Start() { r.mailbox.Post(r.look) }
 
-// look reads all keys and does what they lack. It ends when the gate is open.
+// look reads all keys and does what they lack. It ends when the gate is open for all that this
+// node reads.
 func (r *Rollout) look() {
 	r.store.List(prefix, "", func(reply statestore.Reply[protocol.ItemList]) {
 		if reply.Status != http.StatusOK {
@@ -91,21 +102,25 @@
 		}
 		formats[item.Key] = p.Format
 	}
-	status := Status{Open: formats[gateKey] >= Present}
+	gate := formats[gateKey]
+	status := Status{Open: gate >= Present, Cells: gate >= WithCells}
+	common := r.format // what all controllers read
 	for _, node := range r.nodes {
-		if formats[nodePrefix+node] < Present && !status.Open {
+		published := formats[nodePrefix+node]
+		if published < r.format && gate < r.format {
 			status.Missing = append(status.Missing, node)
 		}
+		common = min(common, published)
 	}
 	r.note(status)
 	switch {
-	case status.Open:
+	case gate >= r.format:
 		r.join()
-	case formats[nodePrefix+r.node] < Present:
-		r.put(nodePrefix+r.node, version(items, nodePrefix+r.node))
-	case len(status.Missing) == 0:
+	case formats[nodePrefix+r.node] < r.format:
+		r.put(nodePrefix+r.node, r.format, version(items, nodePrefix+r.node))
+	case common >= Present && common > gate:
 		r.join()
-		r.put(gateKey, version(items, gateKey))
+		r.put(gateKey, common, version(items, gateKey))
 	default:
 		r.join()
 		r.again(pollTime)
@@ -123,26 +138,33 @@
 // note tells of a changed status, and an operator now and then of who is missing.
 func (r *Rollout) note(s Status) {
 	now := r.mailbox.Steady()
-	if s.Open != r.status.Open || !slices.Equal(s.Missing, r.status.Missing) {
-		if s.Open {
+	if s.Open != r.status.Open || s.Cells != r.status.Cells || !slices.Equal(s.Missing, r.status.Missing) {
+		if s.Open && !r.status.Open {
 			slog.Info("all controllers read the present formats", "format", Present)
 		}
+		if s.Cells && !r.status.Cells {
+			slog.Info("all controllers read the formats of cells", "format", WithCells)
+		}
 		r.status = s
 		r.changed(s)
 	}
 	if len(s.Missing) > 0 && now > r.reportedAt+reportTime {
 		if r.reportedAt != 0 {
-			slog.Info("controllers of an earlier version keep services and divided records off", "missing", strings.Join(s.Missing, " "))
+			what := "services and divided records"
+			if s.Open {
+				what = "cells"
+			}
+			slog.Info("controllers of an earlier version keep "+what+" off", "missing", strings.Join(s.Missing, " "))
 		}
 		r.reportedAt = now
 	}
 }
 
 // put writes one key and looks again, whatever became of it.
-func (r *Rollout) put(key string, version int64) {
+func (r *Rollout) put(key string, format int, version int64) {
 	t := protocol.Txn{
 		Guards:  []protocol.Guard{{Key: key, Version: version}},
-		Changes: []protocol.Change{{Put: key, Value: protocol.Encode(published{Format: Present})}},
+		Changes: []protocol.Change{{Put: key, Value: protocol.Encode(published{Format: format})}},
 	}
 	r.store.Commit(statestore.ForLeadership, t, func(reply statestore.Reply[protocol.TxnAnswer]) {
 		if reply.Status == http.StatusOK || reply.Status == http.StatusConflict {
