--- /dev/null
+++ b/cmd/loadtool/main.go
@@ -0,0 +1,26 @@
+// Command loadtool plays loads and faults on the simulated clock, against this repository's
+// stand-ins, and writes what it measured as a page with plots. Its figures are simulated.
+package main
+
+import (
+	"log/slog"
+
+	"github.com/alecthomas/kong"
+)
+
+type commandLine struct {
+	Cells cellsCommand `cmd:"" help:"Three cells of which one is filled, with and without spilling."`
+}
+
+func main() {
+	var cli commandLine
+	ctx := kong.Parse(&cli, kong.Name("loadtool"), kong.Description("Plays loads and faults on the simulated clock and reports on them."))
+	slog.SetDefault(slog.New(slog.DiscardHandler)) // the controllers' own logs
+	ctx.FatalIfErrorf(ctx.Run())
+}
+
+// outputFlags are those of every command.
+type outputFlags struct {
+	Report string `help:"File to write the report to (HTML)." default:"report.html" placeholder:"FILE"`
+	Seeds  uint64 `help:"How many days of each kind are played." default:"8"`
+}
--- a/internal/dispatch/cells.go
+++ b/internal/dispatch/cells.go
@@ -230,3 +230,48 @@
 	}
 	return free
 }
+
+// CellOverview is what the leader knows of another cell.
+type CellOverview struct {
+	Cell string `json:"cell"`
+	// Reachable tells that it answers this cell's reports, if it is sent any, and reports itself,
+	// if it may take work.
+	Reachable bool `json:"reachable"`
+	// Lent counts this cell's tasks that are there, Borrowed that cell's tasks that are here.
+	Lent     int `json:"lent_tasks"`
+	Borrowed int `json:"borrowed_tasks"`
+	// Recalled counts delegations that are wanted back.
+	Recalled int `json:"recalled"`
+	// OldestUnansweredS is how long ago that cell last said something of the delegation that it
+	// has been silent about for longest.
+	OldestUnansweredS float64 `json:"oldest_unanswered_s"`
+	// ShortS is for how long its own work has been waiting for room, by its last report.
+	ShortS float64 `json:"short_s,omitempty"`
+}
+
+// cellsOverview is empty on nodes that don't lead.
+func (d *Dispatch) cellsOverview() []CellOverview {
+	now := d.now()
+	var all []CellOverview
+	for name, link := range inOrder(d.links) {
+		o := CellOverview{Cell: name, Reachable: link.failures <= circuitFailures && (link.loadAt == 0 || now <= link.loadAt+loadTime),
+			ShortS: link.load.Short.Seconds()}
+		for _, del := range d.delegations {
+			if del.Host != name {
+				continue
+			}
+			o.Lent += del.Left.Len()
+			o.OldestUnansweredS = max(o.OldestUnansweredS, (now - del.HeardAt).Seconds())
+			if del.State == delegation.Recalled {
+				o.Recalled++
+			}
+		}
+		for _, j := range d.jobs {
+			if j.Guest != nil && j.Guest.Home == name && !j.Final() {
+				o.Borrowed += len(j.Placed) + j.PendingCount()
+			}
+		}
+		all = append(all, o)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/dispatch/cells_test.go
@@ -0,0 +1,456 @@
+package dispatch
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"postpoint/internal/actor/actortest"
+	"postpoint/internal/cells"
+	"postpoint/internal/clock"
+	"postpoint/internal/delegation"
+	"postpoint/internal/ledger"
+	"postpoint/internal/protocol"
+	"postpoint/internal/statestore"
+)
+
+const twoCells = `
+cell = "alpha"
+[[cells]]
+name = "alpha"
+lease_s = 12.0
+guests = { cpus = 100.0 }
+controllers = [{ node = "worker-0", address = "10.0.0.1:8082" }]
+[[cells]]
+name = "beta"
+lease_s = 12.0
+guests = { cpus = 100.0 }
+controllers = [{ node = "worker-0", address = "10.1.0.1:8082" }]
+[[spill]]
+from = "alpha"
+to = ["beta"]
+[[spill]]
+from = "beta"
+to = ["alpha"]
+`
+
+// cellLeader is a leader of alpha, which runs work for beta and has beta run its own.
+func cellLeader(t *testing.T) (*Dispatch, *commits, *actortest.Still) {
+	t.Helper()
+	d, box := leader()
+	d.set.Node = "worker-0"
+	directory, err := cells.Parse([]byte(twoCells), d.set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := &commits{}
+	d.store, d.format.Open, d.format.Cells = store, true, true
+	d.JoinCells(directory, nil)
+	d.beginCells()
+	return d, store, box
+}
+
+// hosting is a leader of alpha with a guest of one task on m-1, committed and permitted until
+// ten seconds from now.
+func hosting(t *testing.T) (*Dispatch, *job, *machine, *actortest.Still) {
+	t.Helper()
+	d, _, box := cellLeader(t)
+	id := ledger.GuestID("beta", "job-1", 7)
+	content := ledger.New(protocol.JobSpec{ID: id, Shape: protocol.ShapeArray, Tasks: 1, Cpus: 1}, 1)
+	content.Guest = &ledger.Guest{Home: "beta", Number: 7}
+	content.NextAttempt = 2
+	content.Placed[0] = ledger.Placement{Task: 0, Attempt: 1, Machine: "m-1", Session: 1}
+	d.adopt(ledger.Key(id), content.Encode(), 5)
+	j := d.jobs[id]
+	j.permit.Take(delegation.Ruling{Number: 7, Verdict: delegation.Continue, For: 10 * clock.Second}, box.Now, box.Now)
+	return d, j, d.machines["m-1"], box
+}
+
+// beat has the machine report, and gives the status and the orders of the answer.
+func beat(d *Dispatch, box *actortest.Still, counter int64, tasks ...protocol.TaskReport) (status int, orders []protocol.Order) {
+	d.term.RenewedAt, d.term.ValidUntil, d.freshAt = box.Now, box.Now+4*clock.Second, box.Now
+	d.Heartbeat(report(1, counter, tasks...), func(s int, body any) {
+		status = s
+		if a, ok := body.(protocol.HeartbeatAnswer); ok {
+			orders = a.Orders
+		}
+	})
+	return status, orders
+}
+
+// An answer renews the lease of a guest's task only while its home permits it; after that it is
+// given only if it ends the task, and not at all while a start of it may still arrive.
+func TestNoLeaseIsRenewedWithoutPermission(t *testing.T) {
+	d, j, m, box := hosting(t)
+	task := protocol.TaskReport{Task: protocol.TaskName(j.Spec.ID, 0), Attempt: 1, Status: protocol.TaskRunning}
+	if status, orders := beat(d, box, 1, task); status != 200 || len(orders) != 0 {
+		t.Fatalf("answered %d with %v while it is permitted", status, orders)
+	}
+	box.Now += 10 * clock.Second
+	if status, orders := beat(d, box, 2, task); status != 200 || len(orders) != 1 || orders[0].Verb != protocol.VerbStop {
+		t.Fatalf("answered %d with %v at the permission's end", status, orders)
+	}
+	m.sent[taskRef{j.Spec.ID, 0, 1}] = &sent{uncertain: true}
+	if status, _ := beat(d, box, 3); status != 503 {
+		t.Fatalf("answered %d though a start may still arrive", status)
+	}
+}
+
+// A new leader has no permission: machines with guests' tasks wait for an answer until it has
+// asked home, or has had the time to.
+func TestNewHostWaitsForItsHomesWord(t *testing.T) {
+	d, j, _, box := hosting(t)
+	d.welcome(j)
+	task := protocol.TaskReport{Task: protocol.TaskName(j.Spec.ID, 0), Attempt: 1, Status: protocol.TaskRunning}
+	if status, _ := beat(d, box, 1, task); status != 503 {
+		t.Fatalf("answered %d before home was heard of", status)
+	}
+	box.Now += heedTime
+	if status, orders := beat(d, box, 2, task); status != 200 || len(orders) != 1 || orders[0].Verb != protocol.VerbStop {
+		t.Fatalf("answered %d with %v after four seconds", status, orders)
+	}
+}
+
+// Machines that hang with a guest's task are returned in time for what the host tells home in
+// its reports, whoever leads.
+func TestHungMachinesWithGuestsAreReturnedInTime(t *testing.T) {
+	d, j, _, box := hosting(t)
+	workers := d.set.Deployment.Workers
+	latest := j.permit.Until() + cells.ClearTime(workers.Lease()) - returnTime
+	if at := d.returnAt(j); at > latest {
+		t.Errorf("returned %.1f s too late", (at - latest).Seconds())
+	}
+	d.welcome(j) // a new leader, and the last permission ended just before its predecessor's lease did
+	ended := d.begunAt - 5*clock.Second
+	if at := d.returnAt(j); at > ended+cells.ClearTime(workers.Lease())-returnTime {
+		t.Errorf("returned %.1f s after the new leader's election", (at - d.begunAt).Seconds())
+	}
+	j.Guest.Closed = true // by its predecessor, long ago perhaps
+	if at := d.returnAt(j); at != d.begunAt+heedTime {
+		t.Errorf("returned %.1f s after the new leader's election though it was closed before", (at - d.begunAt).Seconds())
+	}
+	_ = box
+}
+
+// Commands that start a guest's task don't leave once its permission has ended.
+func TestCommandsKeepToPermissions(t *testing.T) {
+	d, j, m, box := hosting(t)
+	worker := &commandsUntil{}
+	d.agent = worker
+	d.term.ValidUntil = box.Now + 60*clock.Second
+	start := protocol.Order{Verb: protocol.VerbStart, Task: protocol.TaskName(j.Spec.ID, 0), Attempt: 1}
+	d.command(m, 1, []protocol.Order{start}, nil)
+	if worker.until != j.permit.Until() {
+		t.Errorf("until %.1f s, permitted until %.1f s", worker.until.Seconds(), j.permit.Until().Seconds())
+	}
+	start.Verb = protocol.VerbStop
+	d.command(m, 1, []protocol.Order{start}, nil)
+	if worker.until != d.term.ValidUntil {
+		t.Error("what ends the task is held back as well")
+	}
+}
+
+// commandsUntil keeps until when the last commands might leave.
+type commandsUntil struct{ until clock.Micros }
+
+func (c *commandsUntil) Commands(_ string, _ protocol.Commands, until clock.Micros, _ func(int, protocol.Report)) {
+	c.until = until
+}
+
+// While a task is with another cell, its zone isn't known: no other task of a job whose zones
+// depend on each other is planned here.
+func TestZonesOfTasksElsewhereArentKnown(t *testing.T) {
+	for _, oneZone := range []bool{false, true} {
+		d, j, _, box := delegating(t)
+		j.Spec.OneZone = oneZone
+		d.unplace(j, j.Placed[0])
+		if pj := d.plannedJob(j, box.Now, false); (len(pj.Pending) == 0) != oneZone {
+			t.Errorf("one zone %v: pending %v", oneZone, pj.Pending)
+		}
+	}
+}
+
+// Home learns that a guest is closed, and which of its tasks are done, from what is stored.
+func TestStatusIsWhatIsStored(t *testing.T) {
+	d, j, m, _ := hosting(t)
+	j.Guest.Closed = true
+	d.touchHead(j)
+	j.closedAt = j.changed
+	d.observe(m, report(1, 1, protocol.TaskReport{Task: protocol.TaskName(j.Spec.ID, 0), Attempt: 1, Status: protocol.TaskExited, Cause: protocol.CauseDone}))
+	if s, _ := d.statusOf(j); s.Closed || s.Done.Len() > 0 || s.Held.Len() > 0 {
+		t.Fatalf("told before it is stored: %+v", s)
+	}
+	j.inFlight = true
+	d.committed([]write{{j: j, v: &j.storedValue, part: head, changed: j.changed}}, statestore.Reply[protocol.TxnAnswer]{Status: 200, Value: protocol.TxnAnswer{Revision: 6}})
+	if s, _ := d.statusOf(j); !s.Closed || s.Done.Len() != 1 {
+		t.Fatalf("not told though it is stored: %+v", s)
+	}
+}
+
+// delegating is a leader of alpha whose job's task is with beta, offered and accepted.
+func delegating(t *testing.T) (*Dispatch, *job, *commits, *actortest.Still) {
+	t.Helper()
+	d, store, box := cellLeader(t)
+	content := ledger.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeArray, Tasks: 2, Cpus: 1}, 1)
+	d.adopt(ledger.Key("job-1"), content.Encode(), 5)
+	j := d.jobs["job-1"]
+	d.numbers = numberBlock{next: 7, end: 1000}
+	d.delegate(j, "beta", []int{0, 1})
+	return d, j, store, box
+}
+
+// tell is a report of beta on delegation 7.
+func tell(d *Dispatch, s delegation.Status) delegation.Answer {
+	s.Number, s.Job = 7, "job-1"
+	r := delegation.Report{Host: "beta", Home: "alpha", Epoch: 3, Clear: cells.ClearTime(12 * clock.Second), Tasks: []delegation.Status{s}}
+	var answer delegation.Answer
+	d.Exchange(r, func(a delegation.Answer, _ bool) { answer = a })
+	return answer
+}
+
+// A delegation is recorded only once its places are, and only while they are what they were: a
+// creation that is carried out after they were freed makes nothing. It is offered after that.
+func TestDelegationsAreRecordedBeforeTheyAreOffered(t *testing.T) {
+	d, j, store, _ := delegating(t)
+	d.saveDelegations()
+	if len(store.txns) != 0 {
+		t.Fatal("recorded before its places")
+	}
+	j.storedValue.durable, j.storedValue.version = j.changed, 6
+	if offers := d.offers("beta", nil); len(offers) != 0 {
+		t.Fatal("offered before it is recorded")
+	}
+	d.saveDelegations()
+	if len(store.txns) != 1 || !guards(store.txns[0], ledger.Key("job-1"), 6) || !guards(store.txns[0], delegation.Key(7), 0) {
+		t.Fatalf("%+v", store.txns)
+	}
+	store.answer(statestore.Reply[protocol.TxnAnswer]{Status: 200, Value: protocol.TxnAnswer{Revision: 8}})
+	if offers := d.offers("beta", nil); len(offers) != 1 || offers[0].Tasks.Len() != 2 {
+		t.Fatalf("offers %v", offers)
+	}
+}
+
+func guards(t protocol.Txn, key string, version int64) bool {
+	for _, g := range t.Guards {
+		if g.Key == key && g.Version == version {
+			return true
+		}
+	}
+	return false
+}
+
+// A permission lasts from what home knows of cancellations, not from now; nobody but a leader
+// that has read the records says that there is no such delegation.
+func TestPermissionsFollowWhatIsKnown(t *testing.T) {
+	d, j, _, box := delegating(t)
+	box.Now += 2 * clock.Second // the records were fresh and the lease renewed before
+	d.term.ValidUntil = box.Now + clock.Second
+	want := cells.LongestPermission(d.set.Deployment.Workers, cells.ClearTime(12*clock.Second)) - 2*clock.Second
+	if a := tell(d, delegation.Status{}); len(a.Rulings) != 1 || a.Rulings[0].Verdict != delegation.Continue || a.Rulings[0].For != want {
+		t.Fatalf("%+v, %.1f s expected", a.Rulings, want.Seconds())
+	}
+	d.noteCancelled(j, box.Now)
+	if a := tell(d, delegation.Status{}); a.Rulings[0].Verdict != delegation.Cancel || a.Rulings[0].For != 0 {
+		t.Fatalf("%+v for a cancelled job", a.Rulings)
+	}
+	delete(d.delegations, 7)
+	if a := tell(d, delegation.Status{}); len(a.Rulings) != 1 || a.Rulings[0].Verdict != delegation.Forget {
+		t.Fatalf("%+v for a delegation that there isn't", a.Rulings)
+	}
+	d.term.ValidUntil = box.Now
+	if a := tell(d, delegation.Status{}); len(a.Rulings) != 0 {
+		t.Fatalf("%+v from a node without the lease", a.Rulings)
+	}
+	d.term.ValidUntil = box.Now + clock.Second
+	d.delegationUnreadable = true
+	if a := tell(d, delegation.Status{}); len(a.Rulings) != 0 {
+		t.Fatalf("%+v though a delegation's record makes no sense", a.Rulings)
+	}
+}
+
+// What a report says of completed tasks counts however late it comes, what it says of others
+// only once the guest is closed.
+func TestReportsFreeWhatTheyProve(t *testing.T) {
+	d, j, _, _ := delegating(t)
+	var first, both ledger.Ranges
+	first.Add(0)
+	both.Add(0)
+	both.Add(1)
+	tell(d, delegation.Status{Held: both})
+	if len(j.Placed) != 2 {
+		t.Fatalf("placed %v", j.Placed)
+	}
+	tell(d, delegation.Status{Done: first})
+	if _, placed := j.Placed[1]; !placed || !j.Done.Has(0) || len(j.Placed) != 1 {
+		t.Fatalf("placed %v, done %v", j.Placed, j.Done.String())
+	}
+	tell(d, delegation.Status{Held: both}) // an old one
+	tell(d, delegation.Status{Closed: true, Done: first})
+	if len(j.Placed) != 0 || j.Returned != 1 || !d.delegations[7].Over() {
+		t.Fatalf("placed %v, returned %d, %+v", j.Placed, j.Returned, d.delegations[7].Delegation)
+	}
+}
+
+// Numbers are taken from the state service before any is used.
+func TestNumbersAreReserved(t *testing.T) {
+	d, store, _ := cellLeader(t)
+	found := protocol.Item{Value: protocol.Encode(int64(4001)), Version: 9}
+	d.store = &oneKey{store, found, 200}
+	d.takeNumbers()
+	if d.numbers.next != 0 || len(store.txns) != 1 || !guards(store.txns[0], delegation.NumbersKey, 9) {
+		t.Fatalf("%+v, %+v", d.numbers, store.txns)
+	}
+	store.answer(statestore.Reply[protocol.TxnAnswer]{Status: 200})
+	if d.numbers.next != 4001 || d.numbers.end != 5001 {
+		t.Fatalf("%+v", d.numbers)
+	}
+}
+
+// oneKey is a state service that has one key, or not even that.
+type oneKey struct {
+	*commits
+	item   protocol.Item
+	status int
+}
+
+func (r *oneKey) Get(_ string, done func(statestore.Reply[protocol.Item])) {
+	done(statestore.Reply[protocol.Item]{Status: r.status, Value: r.item})
+}
+
+// Every reason for which an offer is refused leaves a tombstone that says so, and the same
+// number can't be accepted afterwards.
+func TestRefusalsLeaveTombstones(t *testing.T) {
+	var one ledger.Ranges
+	one.Add(0)
+	good := protocol.JobSpec{ID: "job-1", Class: "c", Team: "t", Shape: protocol.ShapeArray, Rank: "normal", Tasks: 1, Cpus: 1, MemoryGB: 1, Image: "i"}
+	for name, change := range map[string]func(d *Dispatch, o *delegation.Offer){
+		"":                       func(*Dispatch, *delegation.Offer) {},
+		"being drained":          func(d *Dispatch, _ *delegation.Offer) { d.directory.Own.Draining = true },
+		"services":               func(_ *Dispatch, o *delegation.Offer) { o.Spec.Shape = protocol.ShapeService },
+		"not tasks":              func(_ *Dispatch, o *delegation.Offer) { o.Tasks.Add(3) },
+		"no allowed machine":     func(_ *Dispatch, o *delegation.Offer) { o.Spec.Cpus = 64 },
+		"guests have no more":    func(d *Dispatch, _ *delegation.Offer) { d.directory.Own.Guests.Cpus = 0 },
+		"both spread and in one": func(_ *Dispatch, o *delegation.Offer) { o.Spec.Tasks, o.Spec.Spread, o.Spec.Zone = 2, true, "a" },
+	} {
+		d, store, _ := cellLeader(t)
+		d.catalogue = []protocol.MachineType{{Name: "small", Cpus: 8, MemoryGB: 32, Price: 1, Zones: []string{"a"}}}
+		o := delegation.Offer{Number: 7, Spec: good, Tasks: one}
+		change(d, &o)
+		d.takeOffer(d.links["beta"], o)
+		store.answer(statestore.Reply[protocol.TxnAnswer]{Status: 200, Value: protocol.TxnAnswer{Revision: 8}})
+		j := d.jobs[ledger.GuestID("beta", "job-1", 7)]
+		if j == nil || j.Final() != (name != "") || !strings.Contains(j.Cause, name) {
+			t.Errorf("%s: %+v", name, j)
+			continue
+		}
+		d.takeOffer(d.links["beta"], o)
+		if len(store.txns) != 1 {
+			t.Errorf("%s: taken again", name)
+		}
+	}
+}
+
+// BenchmarkExchange is what a report on as many delegations as one cell may have costs both
+// leaders: making it, its form, taking it, and the answer.
+func BenchmarkExchange(b *testing.B) {
+	d, box := leader()
+	d.set.Node = "worker-0"
+	directory, err := cells.Parse([]byte(twoCells), d.set)
+	if err != nil {
+		b.Fatal(err)
+	}
+	d.store, d.format.Open, d.format.Cells = &commits{}, true, true
+	d.JoinCells(directory, nil)
+	d.beginCells()
+	d.numbers = numberBlock{next: 1, end: 1000}
+	var tasks []int
+	for task := range 100 {
+		tasks = append(tasks, task)
+	}
+	r := delegation.Report{Host: "beta", Home: "alpha", Epoch: 3, Clear: cells.ClearTime(12 * clock.Second)}
+	for range delegation.MaxPerHost {
+		id := fmt.Sprintf("job-%d", d.numbers.next)
+		d.adopt(ledger.Key(id), ledger.New(protocol.JobSpec{ID: id, Shape: protocol.ShapeArray, Tasks: 100, Cpus: 1}, 1).Encode(), 5)
+		s := delegation.Status{Number: d.numbers.next, Job: id}
+		for task := range 100 {
+			s.Held.Add(task)
+		}
+		r.Tasks = append(r.Tasks, s)
+		d.delegate(d.jobs[id], "beta", tasks)
+	}
+	for b.Loop() {
+		d.freshAt, d.term.RenewedAt, d.term.ValidUntil = box.Now, box.Now, box.Now+clock.Second
+		report, err := delegation.DecodeReport(r.Encode())
+		if err != nil {
+			b.Fatal(err)
+		}
+		d.Exchange(report, func(a delegation.Answer, _ bool) {
+			if len(a.Rulings) != delegation.MaxPerHost {
+				b.Fatalf("%d rulings", len(a.Rulings))
+			}
+			if _, err := delegation.DecodeAnswer(a.Encode()); err != nil {
+				b.Fatal(err)
+			}
+		})
+	}
+}
+
+// The removal of a tombstone meets a change that had no answer and was carried out after all: the
+// record is read, and removed at the version that it has; once it isn't there it is forgotten.
+func TestTombstonesAreRemovedWhateverTheirVersion(t *testing.T) {
+	d, j, _, _ := hosting(t)
+	store := d.store.(*commits)
+	d.unplace(j, j.Placed[0])
+	j.Guest.Closed, j.Status, j.permit.Forgotten = true, protocol.StatusCancelled, true
+	stored := protocol.Item{Value: j.Encode(), Version: 9}
+	j.storedValue.replaced(5)
+	d.checkGuest(j)
+	store.answer(statestore.Reply[protocol.TxnAnswer]{Status: 409, Value: protocol.TxnAnswer{Failed: []string{ledger.Key(j.Spec.ID)}}})
+	if d.jobs[j.Spec.ID] == nil {
+		t.Fatal("forgotten though the record is there")
+	}
+	d.store = &oneKey{store, stored, 200}
+	d.dirtyUnits()
+	d.checkGuest(j)
+	if last := store.txns[len(store.txns)-1]; !guards(last, ledger.Key(j.Spec.ID), 9) {
+		t.Fatalf("%+v", last)
+	}
+	store.answer(statestore.Reply[protocol.TxnAnswer]{Status: 409, Value: protocol.TxnAnswer{Failed: []string{ledger.Key(j.Spec.ID)}}})
+	d.store = &oneKey{store, protocol.Item{}, 404}
+	d.dirtyUnits()
+	if d.jobs[j.Spec.ID] != nil {
+		t.Fatal("it is kept though its record is gone")
+	}
+}
+
+// What keeps work at home: nothing waits, it hasn't waited for long, it came back a moment ago or
+// often enough, it can't go as a whole.
+func TestWorkThatMayNotSpill(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(d *Dispatch, j *job)
+		tasks  int
+	}{
+		"waits":               {func(*Dispatch, *job) {}, 2},
+		"wants nothing":       {func(_ *Dispatch, j *job) { j.wantedAt = 0 }, 0},
+		"waits a little":      {func(d *Dispatch, j *job) { j.wantedFrom = d.now() - shortTime + 1 }, 0},
+		"came back":           {func(d *Dispatch, j *job) { j.backAt = d.now() - settleTime + 1 }, 0},
+		"came back too often": {func(_ *Dispatch, j *job) { j.Returned = maxReturned }, 0},
+		"a service":           {func(_ *Dispatch, j *job) { j.Spec.Shape = protocol.ShapeService }, 0},
+		"a whole gang":        {func(_ *Dispatch, j *job) { j.Spec.Shape = protocol.ShapeGang }, 4},
+		"a broken gang":       {func(_ *Dispatch, j *job) { j.Spec.Shape = protocol.ShapeGang; j.Done.Add(0) }, 0},
+		"one zone, running": {func(d *Dispatch, j *job) {
+			j.Spec.OneZone = true
+			d.place(j, ledger.Placement{Task: 0, Attempt: 1, Machine: "m-1", Session: 1})
+		}, 0},
+		"over": {func(d *Dispatch, j *job) { d.noteCancelled(j, d.now()) }, 0},
+	} {
+		d, _, box := cellLeader(t)
+		d.adopt(ledger.Key("job-1"), ledger.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeArray, Tasks: 4, Cpus: 1}, 1).Encode(), 5)
+		j := d.jobs["job-1"]
+		j.wantedFrom, j.wantedAt, j.wantedTasks = box.Now-10*clock.Second, box.Now, 2
+		c.change(d, j)
+		if n, _ := d.spillTasks(j); n != c.tasks {
+			t.Errorf("%s: %d tasks may go", name, n)
+		}
+	}
+}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -153,6 +153,9 @@
 func (d *Dispatch) committed(writes []write, r statestore.Reply[protocol.TxnAnswer]) {
 	for _, w := range writes {
 		w.v.inFlight = false
+		if !w.v.uncertain && !r.Unknown() && r.Status < http.StatusInternalServerError {
+			w.v.doubtful = nil // the change was carried out, or never will be
+		}
 	}
 	switch {
 	case r.Status == http.StatusOK:
@@ -242,7 +245,8 @@
 func (d *Dispatch) noteDurable(writes []write, revision int64) {
 	touched := map[string]*machine{}
 	for _, w := range writes {
-		w.v.version, w.v.durable, w.v.refusedBytes, w.v.uncertain = revision, w.changed, 0, false
+		w.v.version, w.v.durable, w.v.refusedBytes = revision, w.changed, 0
+		w.v.settled()
 		if w.remove {
 			w.v.version = 0
 		}
--- a/internal/dispatch/delegations.go
+++ b/internal/dispatch/delegations.go
@@ -394,7 +394,7 @@
 func (d *Dispatch) answerReport(r *delegation.Report) delegation.Answer {
 	link, leads := d.links[r.Host], d.leads()
 	if r.Epoch > link.epoch || r.Epoch == link.epoch && r.Counter > link.counter {
-		link.epoch = r.Epoch
+		link.epoch, link.counter = r.Epoch, r.Counter
 		link.load, link.loadAt = r.Load, d.now()
 	}
 	a := delegation.Answer{Result: delegation.Taken}
--- a/internal/dispatch/guests.go
+++ b/internal/dispatch/guests.go
@@ -131,7 +131,8 @@
 func (d *Dispatch) checkGuest(j *job) {
 	j.permit.Check(d.now())
 	if j.reread || j.reading || j.Final() {
-		if j.Final() && j.permit.Forgotten {
+		// A home that this cell doesn't know any more will never say that it has done with it.
+		if j.Final() && (j.permit.Forgotten || d.directory == nil || d.directory.Cell(j.Guest.Home) == nil) {
 			d.removeGuest(j)
 		}
 		return
@@ -217,14 +218,22 @@
 			return
 		}
 		j.inFlight = false
-		// After a conflict the record has been removed by an earlier copy of this.
-		if r.Status == http.StatusOK || r.Status == http.StatusConflict {
-			d.retired[j.Spec.ID] = j.version
-			delete(d.jobs, j.Spec.ID)
+		switch r.Status {
+		case http.StatusOK:
+			d.forgetGuest(j)
+		case http.StatusConflict:
+			// An earlier copy of this has removed it, or a change without an answer was carried out.
+			j.reread = true
 		}
 	})
 }
 
+// forgetGuest drops a guest whose record is gone.
+func (d *Dispatch) forgetGuest(j *job) {
+	d.retired[j.Spec.ID] = j.version
+	delete(d.jobs, j.Spec.ID)
+}
+
 // takeOffer records whether this cell takes what another offers. It permits nothing yet: the
 // next report tells home of the record, and its answer may permit the start.
 func (d *Dispatch) takeOffer(link *cellLink, o delegation.Offer) {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -126,6 +126,9 @@
 	delete(j.Placed, p.Task)
 	delete(j.stops, p.Task)
 	delete(j.proposed, p.Task)
+	if v := j.valueOf(p.Task); v.inFlight || v.uncertain {
+		v.doubtful = append(v.doubtful, p)
+	}
 	d.unindex(j, p)
 	d.touch(j, p.Task)
 	if !j.Done.Has(p.Task) {
--- a/internal/dispatch/overview.go
+++ b/internal/dispatch/overview.go
@@ -21,6 +21,9 @@
 	Missing        []string `json:"missing,omitempty"`
 	// TightLimits tells that the state service refuses what its first limits allow.
 	TightLimits bool `json:"tight_limits,omitempty"`
+	// Cell is this node's own, Cells are the others, if cells are switched on.
+	Cell  string         `json:"cell,omitempty"`
+	Cells []CellOverview `json:"cells,omitempty"`
 }
 
 // ClassOverview counts the open jobs of a class.
@@ -61,6 +64,9 @@
 func (d *Dispatch) overview() Overview {
 	o := Overview{Node: d.set.Node, Leader: d.leader, Leads: d.leads(), Epoch: d.term.Epoch, Plans: d.plans,
 		PresentFormats: d.format.Open, Missing: d.format.Missing, TightLimits: d.tightened}
+	if d.directory != nil {
+		o.Cell, o.Cells = d.directory.Own.Name, d.cellsOverview()
+	}
 	classes := map[string]ClassOverview{}
 	for _, j := range inOrder(d.jobs) {
 		c := classes[j.Spec.Class]
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -297,9 +297,12 @@
 		if d.jobs[j.Spec.ID] != j {
 			return // over meanwhile
 		}
-		if r.Status == http.StatusOK {
+		switch {
+		case r.Status == http.StatusOK:
 			d.adopt(key, r.Value.Value, r.Value.Version)
-		} else {
+		case r.Status == http.StatusNotFound && j.Guest != nil:
+			d.forgetGuest(j) // only this leader removes it
+		default:
 			d.pauseUntil = d.now() + retryDelay
 		}
 		d.wake()
--- a/internal/dispatch/records_test.go
+++ b/internal/dispatch/records_test.go
@@ -91,3 +91,34 @@
 		t.Fatalf("orders %v", orders)
 	}
 }
+
+// A place that is freed while a change which says that it is taken has no answer counts against
+// its team's limit until that change can't be carried out any more: it would bring the place back
+// after it had been given away.
+func TestFreedPlacesCountWhileAChangeMayComeLate(t *testing.T) {
+	unanswered := statestore.Reply[protocol.TxnAnswer]{}
+	carriedOut := statestore.Reply[protocol.TxnAnswer]{Status: 200, Value: protocol.TxnAnswer{Revision: 6}}
+	refused := statestore.Reply[protocol.TxnAnswer]{Status: 429}
+	for name, c := range map[string]struct {
+		answers []statestore.Reply[protocol.TxnAnswer]
+		taken   int
+	}{
+		"answered":                 {[]statestore.Reply[protocol.TxnAnswer]{carriedOut}, 0},
+		"never carried out":        {[]statestore.Reply[protocol.TxnAnswer]{refused}, 0},
+		"unanswered":               {[]statestore.Reply[protocol.TxnAnswer]{unanswered}, 1},
+		"unanswered, then refused": {[]statestore.Reply[protocol.TxnAnswer]{unanswered, refused}, 1},
+		"unanswered, then another": {[]statestore.Reply[protocol.TxnAnswer]{unanswered, carriedOut}, 0},
+	} {
+		d, j, m, _ := one(t)
+		d.deposed = func(int64) {}
+		j.inFlight = true
+		d.observe(m, report(1, 1, protocol.TaskReport{Task: "job-1/0", Attempt: 1, Status: protocol.TaskExited, Cause: protocol.CauseStopped}))
+		for i, answer := range c.answers {
+			j.inFlight = true
+			d.committed([]write{{j: j, v: &j.storedValue, part: head, changed: j.changed - 1}}, answer)
+			if used := d.snapshot().Teams[""].Used; i == len(c.answers)-1 && (j.taken() != c.taken || used.Cpus != float64(c.taken)*j.Spec.Cpus) {
+				t.Errorf("%s: %d places count, %v are used", name, j.taken(), used)
+			}
+		}
+	}
+}
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -37,7 +37,7 @@
 		team := s.Teams[j.Spec.Team]
 		needs := planner.Needs(&j.Spec)
 		// A place counts from its proposal until it is proven empty.
-		team.Used = team.Used.Plus(needs.Times(float64(len(j.Placed))))
+		team.Used = team.Used.Plus(needs.Times(float64(j.taken())))
 		if !j.Final() {
 			left := needs.Times(float64(j.Spec.Tasks - j.Done.Len()))
 			team.BacklogS += j.Spec.EstimateS * left.Share(team.Limit)
--- a/internal/dispatch/spill.go
+++ b/internal/dispatch/spill.go
@@ -9,6 +9,7 @@
 	"postpoint/internal/clock"
 	"postpoint/internal/delegation"
 	"postpoint/internal/planner"
+	"postpoint/internal/protocol"
 	"postpoint/internal/spill"
 )
 
@@ -22,8 +23,8 @@
 	// settleTime is how long work that came back stays at least.
 	settleTime = 60 * clock.Second
 	// homeFreeTime is for how long nothing at home has to have waited for room before work
-	// that waits elsewhere is wanted back.
-	homeFreeTime = 10 * clock.Second
+	// that waits elsewhere is wanted back: less than idle machines are kept.
+	homeFreeTime = 4 * clock.Second
 	// noRoomS is the wait for work that no machine there is at home could ever run.
 	noRoomS = 600
 )
@@ -186,7 +187,7 @@
 	room := planner.Amounts{Cpus: team.CpusMax, Gpus: team.GpusMax, MemoryGB: planner.PlentyGB}
 	for _, o := range d.jobs {
 		if o.Spec.Team == j.Spec.Team {
-			room = room.Minus(planner.Needs(&o.Spec).Times(float64(len(o.Placed))))
+			room = room.Minus(planner.Needs(&o.Spec).Times(float64(o.taken())))
 		}
 	}
 	if team.CpusMax == 0 { // none
@@ -220,8 +221,8 @@
 	return tasks
 }
 
-// recall wants work back that waits elsewhere while there is room here, and all of it from
-// cells that are to be drained.
+// recall wants work back that waits elsewhere while there is room here, and all of it from cells
+// that are to be drained.
 func (d *Dispatch) recall() {
 	if len(d.delegations) == 0 {
 		return
@@ -245,13 +246,20 @@
 	}
 }
 
-// roomHere tells that n tasks of a job would fit on the machines that are up.
+// roomHere tells that n tasks of a job would find room here: half of them on the machines that
+// are up, or one where more of them can be rented as far as is known.
 func (d *Dispatch) roomHere(j *job, n int) bool {
+	fit := 0
 	for i := range d.views {
 		m := &d.views[i]
 		if !m.Booting && planner.Allowed(&j.Spec, m.Type, m.Zone, m.Spot) {
-			n -= planner.Needs(&j.Spec).Count(m.Free)
+			fit += planner.Needs(&j.Spec).Count(m.Free)
 		}
 	}
-	return n <= 0
+	if 2*fit >= n {
+		return true
+	}
+	refused := d.market().Refused
+	rentable := func(t protocol.MachineType) bool { return typeHolds(t, &j.Spec) && !allRefused(t, refused) }
+	return fit > 0 && slices.ContainsFunc(d.catalogue, rentable)
 }
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -1,7 +1,10 @@
 package dispatch
 
 import (
+	"slices"
+
 	"postpoint/internal/clock"
+	"postpoint/internal/ledger"
 )
 
 // storedValue relates what is known in memory to one value of the state service: a
@@ -17,6 +20,10 @@
 	fresh []int
 	// uncertain tells that a change had no answer: the key may exist, or have another version.
 	uncertain bool
+	// doubtful are places that were freed while a change was under way, or had no answer, which
+	// may say that they are taken. Carried out late it would bring them back, so that they count
+	// as taken until that can't happen any more.
+	doubtful []ledger.Placement
 	// refusedBytes is the size at which the state service refused the value, 0 if it didn't.
 	refusedBytes int
 }
@@ -34,12 +41,31 @@
 
 // replaced takes over what was read.
 func (v *storedValue) replaced(version int64) {
-	v.version, v.uncertain = version, false
+	v.version, v.uncertain, v.doubtful = version, false, nil
 	v.changed++
 	v.durable = v.changed
 	v.fresh = nil
 }
 
+// settled forgets what was in doubt: nothing that was sent before can be carried out any more.
+func (v *storedValue) settled() { v.uncertain, v.doubtful = false, nil }
+
+// inDoubt are the places that count as taken though they are free: see doubtful. A task that
+// has a new place would only lose that for the old one.
+func (j *job) inDoubt() []ledger.Placement {
+	doubtful := j.doubtful
+	for _, v := range j.parts {
+		doubtful = append(doubtful[:len(doubtful):len(doubtful)], v.doubtful...)
+	}
+	return slices.DeleteFunc(slices.Clone(doubtful), func(p ledger.Placement) bool {
+		_, placed := j.Placed[p.Task]
+		return placed
+	})
+}
+
+// taken is how many places of the job count against its team's limit.
+func (j *job) taken() int { return len(j.Placed) + len(j.inDoubt()) }
+
 // absent tells that the key surely doesn't exist.
 func (v *storedValue) absent() bool { return v.version == 0 && !v.uncertain }
 
--- a/internal/testkit/deployment.go
+++ b/internal/testkit/deployment.go
@@ -27,8 +27,10 @@
 	Cells          Link // to and from other cells
 	// Unanswered nodes' reports arrive in other cells, whose answers don't.
 	Unanswered bool
-	Dispatch   *dispatch.Dispatch
-	Intake     *intake.Intake
+	// WithoutCells processes are started without a cells file.
+	WithoutCells bool
+	Dispatch     *dispatch.Dispatch
+	Intake       *intake.Intake
 	// reports and requests are the node as workers and users reach it.
 	reports  reportHandler
 	requests requestHandler
--- a/internal/testkit/state.go
+++ b/internal/testkit/state.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"postpoint/internal/clock"
+	"postpoint/internal/delegation"
 	"postpoint/internal/leadership"
 	"postpoint/internal/ledger"
 	"postpoint/internal/protocol"
@@ -53,6 +54,8 @@
 	CheckPut func(key string, value []byte)
 	// Changes and Requests count puts and all requests, for tests that bound them.
 	Changes, Requests int
+	// delegationsStored counts the delegations' records that were made.
+	delegationsStored int
 	// Kept is how many changes followers may be behind, Page what a list gives at
 	// a time.
 	Kept int64
@@ -186,6 +189,9 @@
 			if s.CheckPut != nil {
 				s.CheckPut(c.Put, c.Value)
 			}
+			if strings.HasPrefix(c.Put, delegation.Prefix) && s.keys[c.Put].version == 0 {
+				s.delegationsStored++
+			}
 			s.keys[c.Put] = entry{c.Value, s.revision, c.Lease}
 			s.log = append(s.log, protocol.Event{Put: c.Put, Value: c.Value, Version: s.revision})
 		} else {
--- a/internal/testkit/users.go
+++ b/internal/testkit/users.go
@@ -18,6 +18,7 @@
 	run        clock.Micros
 	mistaken   bool
 	told       string // the last final state
+	toldAt     clock.Micros
 	cancelled  clock.Micros
 	wantsEnd   bool
 	heardAt    clock.Micros // when its user last got an answer
@@ -163,7 +164,7 @@
 	if !final || j.told != "" {
 		return
 	}
-	j.told = s.Status
+	j.told, j.toldAt = s.Status, d.World.now
 	if s.Status == protocol.StatusCancelled {
 		j.cancelled = d.World.now
 		d.World.After(clock.FromSeconds(d.Settings.Deployment.Workers.CancelS)+1, func() {
@@ -198,3 +199,23 @@
 	sort.Strings(ids)
 	return ids
 }
+
+// Told is the final state that the job's user was told, "" before.
+func (j *Job) Told() string { return j.told }
+
+// Began is how long after its submission the job's first task had its image, or a very long
+// time.
+func (j *Job) Began() clock.Micros { return since(j.submitted, j.began) }
+
+// Ended is how long after its submission its user was told its end, or a very long time.
+func (j *Job) Ended() clock.Micros { return since(j.submitted, j.toldAt) }
+
+func since(from, to clock.Micros) clock.Micros {
+	if to == 0 {
+		return never
+	}
+	return to - from
+}
+
+// never is longer than any day.
+const never = 100_000 * clock.Second
--- a/internal/testkit/world.go
+++ b/internal/testkit/world.go
@@ -104,6 +104,8 @@
 	// about to leave it, the last of which leaves afterwards.
 	StandAfter int
 	StandFor   clock.Micros
+	// EndAfter ends it once so many more requests have left it.
+	EndAfter int
 }
 
 // Stand lets the process stand still for a while.
@@ -146,6 +148,11 @@
 		}
 	}
 	p.run(send)
+	if p.EndAfter > 0 {
+		if p.EndAfter--; p.EndAfter == 0 {
+			p.alive = false
+		}
+	}
 }
 
 func (w *World) process() *Process {
