--- a/internal/dispatch/delegations.go
+++ b/internal/dispatch/delegations.go
@@ -71,7 +71,7 @@
 		done()
 		return
 	}
-	d.loadPages(epoch, delegation.Prefix, "", func(item protocol.Item) {
+	d.loadAll(epoch, delegation.Prefix, "", func(item protocol.Item) {
 		r, err := delegation.DecodeRecord(item.Key, item.Value)
 		if err != nil {
 			// Never guess at what may be running elsewhere: nothing is freed on its account.
--- a/internal/dispatch/divide.go
+++ b/internal/dispatch/divide.go
@@ -94,7 +94,7 @@
 		return
 	}
 	j.reading = true
-	d.listParts(j, reading{}, "", func(r reading) {
+	d.listParts(j, reading{}, func(r reading) {
 		for _, item := range r.parts {
 			d.orphans[item.Key] = item.Version
 		}
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -26,53 +26,53 @@
 	tasks int
 }
 
-// load reads all records, page by page. The first page's revision is where
-// following starts, so that nothing falls between.
+// load reads all records. The first page's revision is where following starts, so that
+// nothing falls between.
 func (d *Dispatch) load(epoch int64, from string, revision int64, began clock.Micros) {
 	d.loading = true
-	d.store.List(ledger.Prefix, from, func(r statestore.Reply[protocol.ItemList]) {
+	statestore.Walk(d.store, ledger.Prefix, from, func(page protocol.ItemList) bool {
 		if d.term.Epoch != epoch {
-			return
-		}
-		if r.Status != http.StatusOK {
-			d.inTerm(retryDelay, func() { d.load(epoch, from, revision, began) })
-			return
+			return false
 		}
-		if from == "" {
-			revision = r.Value.Revision
+		if revision == 0 {
+			revision = page.Revision
 		}
-		for _, item := range r.Value.Items {
+		for _, item := range page.Items {
 			d.adopt(item.Key, item.Value, item.Version)
 		}
-		if r.Value.More && len(r.Value.Items) > 0 {
-			d.load(epoch, r.Value.Items[len(r.Value.Items)-1].Key, revision, began)
-			return
+		return true
+	}, func(status int, from string) {
+		switch {
+		case d.term.Epoch != epoch:
+		case status != http.StatusOK:
+			d.inTerm(retryDelay, func() { d.load(epoch, from, revision, began) })
+		default:
+			// After the heads: only the leader writes parts, so that none is missed.
+			d.loadAll(epoch, ledger.PartsPrefix, "", d.adoptPart, func() {
+				d.loadDelegations(epoch, func() { d.recordsRead(epoch, revision, began) })
+			})
 		}
-		// After the heads: only the leader writes parts, so that none is missed.
-		d.loadPages(epoch, ledger.PartsPrefix, "", d.adoptPart, func() {
-			d.loadDelegations(epoch, func() { d.recordsRead(epoch, revision, began) })
-		})
 	})
 }
 
-// loadPages reads all keys with a prefix, page by page, for as long as it takes.
-func (d *Dispatch) loadPages(epoch int64, prefix, from string, adopt func(protocol.Item), done func()) {
-	d.store.List(prefix, from, func(r statestore.Reply[protocol.ItemList]) {
+// loadAll reads all keys with a prefix, for as long as it takes.
+func (d *Dispatch) loadAll(epoch int64, prefix, from string, adopt func(protocol.Item), done func()) {
+	statestore.Walk(d.store, prefix, from, func(page protocol.ItemList) bool {
 		if d.term.Epoch != epoch {
-			return
-		}
-		if r.Status != http.StatusOK {
-			d.inTerm(retryDelay, func() { d.loadPages(epoch, prefix, from, adopt, done) })
-			return
+			return false
 		}
-		for _, item := range r.Value.Items {
+		for _, item := range page.Items {
 			adopt(item)
 		}
-		if r.Value.More && len(r.Value.Items) > 0 {
-			d.loadPages(epoch, prefix, r.Value.Items[len(r.Value.Items)-1].Key, adopt, done)
-			return
+		return true
+	}, func(status int, from string) {
+		switch {
+		case d.term.Epoch != epoch:
+		case status != http.StatusOK:
+			d.inTerm(retryDelay, func() { d.loadAll(epoch, prefix, from, adopt, done) })
+		default:
+			done()
 		}
-		done()
 	})
 }
 
@@ -290,7 +290,7 @@
 		}
 		content, err := ledger.Decode(r.Value.Value)
 		if r.Status == http.StatusOK && err == nil && content.PartSize > 0 {
-			d.listParts(j, reading{content: content, version: r.Value.Version}, "", func(r reading) { d.replaceDivided(j, r) })
+			d.listParts(j, reading{content: content, version: r.Value.Version}, func(r reading) { d.replaceDivided(j, r) })
 			return
 		}
 		d.readingEnded(j)
@@ -316,29 +316,25 @@
 	parts   []protocol.Item
 }
 
-// listParts reads the parts of one record, page by page.
-func (d *Dispatch) listParts(j *job, r reading, from string, done func(reading)) {
+// listParts reads the parts of one record.
+func (d *Dispatch) listParts(j *job, r reading, done func(reading)) {
 	epoch := d.term.Epoch
-	id := j.Spec.ID
-	d.store.List(ledger.PartsOf(id), from, func(page statestore.Reply[protocol.ItemList]) {
-		if d.term.Epoch != epoch {
+	statestore.Walk(d.store, ledger.PartsOf(j.Spec.ID), "", func(page protocol.ItemList) bool {
+		r.parts = append(r.parts, page.Items...)
+		return d.term.Epoch == epoch
+	}, func(status int, _ string) {
+		switch {
+		case d.term.Epoch != epoch:
 			return
-		}
-		if page.Status != http.StatusOK {
+		case status != http.StatusOK:
 			j.reading = false // and all of it again, after a pause
 			d.pauseUntil = d.now() + retryDelay
-			d.wake()
-			return
-		}
-		r.parts = append(r.parts, page.Value.Items...)
-		if page.Value.More && len(page.Value.Items) > 0 {
-			d.listParts(j, r, page.Value.Items[len(page.Value.Items)-1].Key, done)
-			return
-		}
-		if d.jobs[id] == j {
-			done(r)
+		default:
+			if d.jobs[j.Spec.ID] == j {
+				done(r)
+			}
+			d.readingEnded(j)
 		}
-		d.readingEnded(j)
 		d.wake()
 	})
 }
--- a/internal/dispatch/writes.go
+++ b/internal/dispatch/writes.go
@@ -132,7 +132,7 @@
 		return
 	}
 	j.reading = true
-	d.listParts(j, reading{}, "", func(r reading) {
+	d.listParts(j, reading{}, func(r reading) {
 		for _, v := range j.parts {
 			v.version, v.uncertain = 0, false
 		}
--- a/internal/intake/calls.go
+++ b/internal/intake/calls.go
@@ -135,18 +135,18 @@
 func (c *call) show() {
 	c.known(func(j *ledger.Job, _ int64) {
 		if j.PartSize > 0 && !j.Final() {
-			c.countParts(j, "")
+			c.countParts(j)
 			return
 		}
 		c.answer(http.StatusOK, j.UserStatus())
 	})
 }
 
-// countParts reads the parts of a divided record, page by page, for what users are shown of
-// its tasks. Without them the answer says what the head does.
-func (c *call) countParts(j *ledger.Job, from string) {
-	c.in.store.List(ledger.PartsOf(j.Spec.ID), from, func(r statestore.Reply[protocol.ItemList]) {
-		for _, item := range r.Value.Items {
+// countParts reads the parts of a divided record for what users are shown of its tasks.
+// Without them the answer says what the head does.
+func (c *call) countParts(j *ledger.Job) {
+	statestore.Walk(c.in.store, ledger.PartsOf(j.Spec.ID), "", func(page protocol.ItemList) bool {
+		for _, item := range page.Items {
 			_, part, ok := ledger.ParsePartKey(item.Key)
 			if !ok {
 				continue
@@ -155,12 +155,8 @@
 				slog.Error("malformed part", "key", item.Key, "error", err)
 			}
 		}
-		if n := len(r.Value.Items); r.Status == http.StatusOK && r.Value.More && n > 0 {
-			c.countParts(j, r.Value.Items[n-1].Key)
-			return
-		}
-		c.answer(http.StatusOK, j.UserStatus())
-	})
+		return true
+	}, func(int, string) { c.answer(http.StatusOK, j.UserStatus()) })
 }
 
 func (c *call) submit() {
