Review: a storm of users' questions leaves the cell without a leader

Cause: each controller may send the state service 0.7 of its request limit, so that three exceed it, and it refuses lease renewals like any other request. The candidates read the leader's key within the same budget as users' questions, so that after the lease has expired hardly any claim succeeds.

--- a/review/_standins/deployment.go
+++ b/review/_standins/deployment.go
@@ -52,8 +52,9 @@
 	// lateCommand and lateReport are the shares of commands that are late and of reports that come twice.
 	lateCommand, lateReport float64
 
-	mu   sync.Mutex
-	jobs map[protocol.JobID]*job
+	mu    sync.Mutex
+	jobs  map[protocol.JobID]*job
+	gangs map[string]*gang
 }
 
 // newDeployment prepares a deployment with the settings of the small Fondul Comun site.
--- a/review/_standins/history.go
+++ b/review/_standins/history.go
@@ -74,3 +74,16 @@
 	}
 	return n
 }
+
+// present returns how many tasks are on machines.
+func (h *history) present() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, s := range h.stays {
+		if s.to == 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/review/_standins/store.go
+++ b/review/_standins/store.go
@@ -8,9 +8,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/time/rate"
 
 	"postpoint/internal/protocol"
 )
@@ -53,6 +55,10 @@
 	refused map[string]bool
 	// beforeAnswer is called without the lock before each answer to a watch that reports changes.
 	beforeAnswer func(node string, events []protocol.Event) time.Duration
+	// requests limits the rate of requests, nil for none. served counts them, and beyond those that were
+	// refused because of the limit.
+	requests       atomic.Pointer[rate.Limiter]
+	served, beyond atomic.Int64
 	// late is the share of transactions whose answer is lost, or which are carried out late.
 	late float64
 	// onWatch is called when a watch of a prefix arrives.
@@ -92,9 +98,27 @@
 // unavailable reports whether a controller is not served. The caller holds the lock.
 func (s *store) unavailable(node string) bool { return s.down || s.refused[node] }
 
+// throttled counts a request and reports whether the service refuses it because there are too many.
+func (s *store) throttled() bool {
+	limiter := s.requests.Load()
+	if limiter == nil {
+		return false
+	}
+	s.served.Add(1)
+	if limiter.Allow() {
+		return false
+	}
+	s.beyond.Add(1)
+	return true
+}
+
 // guard answers 503 while the controller is not served.
 func (s *store) guard(node string, handle func(http.ResponseWriter, *http.Request)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if s.throttled() {
+			answer(w, http.StatusTooManyRequests, map[string]any{"error": "too many"})
+			return
+		}
 		s.mu.Lock()
 		unavailable := s.unavailable(node)
 		s.mu.Unlock()
@@ -327,6 +351,10 @@
 	prefix := q.Get("Prefix")
 	from, _ := strconv.ParseInt(q.Get("From"), 10, 64)
 	block, _ := strconv.ParseInt(q.Get("BlockMs"), 10, 64)
+	if s.throttled() {
+		answer(w, http.StatusTooManyRequests, map[string]any{"error": "too many"})
+		return
+	}
 	ends := time.Now().Add(time.Duration(block) * time.Millisecond)
 	if s.onWatch != nil {
 		s.onWatch(node, prefix, from)
--- a/review/_standins/worker.go
+++ b/review/_standins/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -39,8 +40,9 @@
 	epoch   int64
 	tasks   []*task
 	// leaseFrom is when the last answered report was sent, or when the session began.
-	leaseFrom time.Time
-	node      int
+	leaseFrom        time.Time
+	node             int
+	hung, mute, deaf bool
 }
 
 // bodyLimit is the largest request to a worker and the largest response to one. The page counts sizes in the
@@ -108,9 +110,19 @@
 // worker stays with its node.
 func (w *worker) sendReport() time.Duration {
 	w.mu.Lock()
+	if w.hung {
+		w.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+		return time.Millisecond
+	}
 	w.counter++
 	report, shift, sent := w.report(), w.shift, time.Now()
 	node := w.d.nodes[w.node]
+	if w.mute {
+		w.node = (w.node + 1) % len(w.d.nodes)
+		w.mu.Unlock()
+		return 2 * time.Second
+	}
 	w.mu.Unlock()
 	if w.d.lateReport > 0 && rand.Float64() < w.d.lateReport {
 		time.AfterFunc(time.Duration(2000+rand.IntN(12000))*time.Millisecond, func() {
@@ -120,8 +132,12 @@
 		})
 	}
 	status, raw := call(w.client, http.MethodPost, "http://"+node.bind+"/agent/beat", protocol.Encode(report))
+	w.waitHung()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.deaf || time.Since(sent) > 4*time.Second {
+		status = 0
+	}
 	switch status {
 	case http.StatusOK:
 		var response protocol.HeartbeatResponse
@@ -214,8 +230,15 @@
 		w.d.rec.note("%s: a command is late", w.machine.Name)
 		time.Sleep(time.Duration(2000+rand.IntN(10000)) * time.Millisecond)
 	}
+	w.waitHung()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.deaf {
+		w.mu.Unlock()
+		<-r.Context().Done()
+		w.mu.Lock()
+		return
+	}
 	if !w.up {
 		answer(rw, http.StatusServiceUnavailable, map[string]any{})
 		return
@@ -312,13 +335,114 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if t.Status == status && w.ctx.Err() == nil {
+			if w.hung {
+				w.after(t, 200*time.Millisecond, do)
+				return
+			}
 			do()
 		}
 	})
 }
 
+func (w *worker) waitHung() {
+	for {
+		w.mu.Lock()
+		h := w.hung
+		w.mu.Unlock()
+		if !h || w.ctx.Err() != nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (w *worker) set(f func()) {
+	w.mu.Lock()
+	f()
+	w.mu.Unlock()
+}
+
+type gang struct {
+	mu            sync.Mutex
+	members       map[int]*member
+	started, over bool
+}
+type member struct {
+	w *worker
+	t *task
+}
+
+func (d *deployment) gangOf(t *task) *gang {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key := string(t.job.spec.ID) + "#" + fmt.Sprint(t.Attempt)
+	if d.gangs == nil {
+		d.gangs = map[string]*gang{}
+	}
+	if d.gangs[key] == nil {
+		d.gangs[key] = &gang{members: map[int]*member{}}
+	}
+	return d.gangs[key]
+}
+
+func (w *worker) join(t *task) {
+	g := w.d.gangOf(t)
+	t.Status, t.onMachine = protocol.TaskWaiting, true
+	w.d.history.begin(t.Task, int64(t.Attempt), string(w.machine.Name))
+	w.changed()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members[t.index] = &member{w, t}
+	if g.started || g.over || len(g.members) < t.job.spec.Tasks {
+		w.after(t, time.Duration(w.d.workers.GangWaitS*float64(time.Second)), func() { w.exit(t, protocol.CauseGangIncomplete) })
+		return
+	}
+	g.started = true
+	for _, m := range g.members {
+		go m.w.set(func() {
+			if m.t.Status == protocol.TaskWaiting {
+				m.t.Status = protocol.TaskRunning
+				m.w.changed()
+			}
+		})
+	}
+	time.AfterFunc(t.job.runTime, func() { g.end(protocol.CauseDone) })
+}
+
+func (g *gang) end(cause string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.over {
+		return
+	}
+	g.over = true
+	for _, m := range g.members {
+		go func() {
+			m.w.waitHung()
+			m.w.set(func() {
+				if m.t.Status == protocol.TaskRunning {
+					m.w.exit(m.t, cause)
+				}
+			})
+		}()
+	}
+}
+
+func (g *gang) left(t *task) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.members, t.index)
+	if g.started && !g.over {
+		time.AfterFunc(time.Duration(1000+rand.IntN(3500))*time.Millisecond, func() { g.end(protocol.CauseGangBroken) })
+	}
+}
+
 // begin runs a task that has its image.
 func (w *worker) begin(t *task) {
+	if t.job.spec.IsGang() {
+		w.join(t)
+		return
+	}
 	t.Status, t.onMachine = protocol.TaskRunning, true
 	w.d.history.begin(t.Task, int64(t.Attempt), string(w.machine.Name))
 	w.changed()
@@ -336,6 +460,10 @@
 func (w *worker) leave(t *task, cause string) {
 	if t.onMachine {
 		t.onMachine = false
+		if t.job.spec.IsGang() {
+			g := w.d.gangOf(t)
+			go g.left(t)
+		}
 		w.d.history.end(t.Task, int64(t.Attempt), string(w.machine.Name), cause)
 	}
 }
@@ -346,7 +474,10 @@
 	for w.ctx.Err() == nil {
 		time.Sleep(20 * time.Millisecond)
 		w.mu.Lock()
-		if time.Since(w.leaseFrom) > lease && w.ctx.Err() == nil {
+		if w.hung && time.Since(w.leaseFrom) > lease && len(w.tasks) > 0 {
+			w.killAll("lease expired while hung")
+		}
+		if !w.hung && time.Since(w.leaseFrom) > lease && w.ctx.Err() == nil {
 			w.killAll("lease expired")
 			w.shift++
 			w.leaseFrom = time.Now()
