--- a/review/_standins/worker.go
+++ b/review/_standins/worker.go
@@ -339,7 +339,9 @@
 				w.after(t, 200*time.Millisecond, do)
 				return
 			}
-			do()
+			if !w.leaseExpired() {
+				do()
+			}
 		}
 	})
 }
@@ -468,16 +470,17 @@
 	}
 }
 
+// leaseExpired reports whether the lease has expired. The caller holds the lock.
+func (w *worker) leaseExpired() bool {
+	return time.Since(w.leaseFrom) > time.Duration(w.d.workers.LeaseS*float64(time.Second))
+}
+
 // watchLease ends the session when the lease expires.
 func (w *worker) watchLease() {
-	lease := time.Duration(w.d.workers.LeaseS * float64(time.Second))
 	for w.ctx.Err() == nil {
 		time.Sleep(20 * time.Millisecond)
 		w.mu.Lock()
-		if w.hung && time.Since(w.leaseFrom) > lease && len(w.tasks) > 0 {
-			w.killAll("lease expired while hung")
-		}
-		if !w.hung && time.Since(w.leaseFrom) > lease && w.ctx.Err() == nil {
+		if !w.hung && w.leaseExpired() && w.ctx.Err() == nil {
 			w.killAll("lease expired")
 			w.shift++
 			w.leaseFrom = time.Now()
