--- a/review/_standins/hang.go
+++ b/review/_standins/hang.go
@@ -16,7 +16,7 @@
 	hangBefore = time.Second
 	// cloudDownAfter is how long after the cancellation the cloud's interface goes down, cloudDownFor for how
 	// long.
-	cloudDownAfter = 18 * time.Second
+	cloudDownAfter = 17500 * time.Millisecond
 	cloudDownFor   = 20 * time.Second
 )
 
