--- a/internal/admission/attestation.go
+++ b/internal/admission/attestation.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"log/slog"
 
 	"postpoint/internal/clock"
 	"postpoint/internal/protocol"
@@ -117,6 +118,8 @@
 		Epoch:     c.admission.epoch,
 		Cancelled: c.admission.cancellations.since(now-lookback, now),
 	}
+	slog.Debug("attestation given", "lookback_s", lookback.Seconds(), "cancelled_jobs", len(a.Cancelled),
+		"logged_jobs", len(c.admission.cancellations.reportedAt))
 	body := a.Encode()
 	if len(body) > protocol.MaxBodyBytes {
 		c.fail(outcomeTryLater, reasonTooOld)
--- a/internal/leader/reconciler/cancellations.go
+++ b/internal/leader/reconciler/cancellations.go
@@ -1,9 +1,6 @@
 package reconciler
 
 import (
-	"log/slog"
-
-	"postpoint/internal/admission"
 	"postpoint/internal/cells"
 	"postpoint/internal/clock"
 	"postpoint/internal/leader/jobtable"
@@ -55,10 +52,7 @@
 	commands *CommandSender
 	// Releases releases machines to the cloud.
 	Releases ReleaseSender
-	// attest asks all controllers for attestations.
-	attest Attester
-	// attesting reports that responses to attest are outstanding.
-	attesting bool
+	attestationState
 }
 
 // ReleaseSender sends the scheduled releases of machines to the cloud.
@@ -66,19 +60,15 @@
 	SendReleases()
 }
 
-// Attester asks every controller, this one included, which cancellations it has confirmed to users in
-// the given window before now. ok means that all of them have responded.
-type Attester func(window clock.Micros, done func(attestations []admission.Attestation, ok bool))
-
 // NewCancellations returns the component that ends the tasks of cancelled jobs.
 func NewCancellations(term *term.State, jobs *jobtable.Table, machines *machinetable.Table,
 	commands *CommandSender, attest Attester) *Cancellations {
 	return &Cancellations{
-		State:    term,
-		jobs:     jobs,
-		machines: machines,
-		commands: commands,
-		attest:   attest,
+		State:            term,
+		jobs:             jobs,
+		machines:         machines,
+		commands:         commands,
+		attestationState: attestationState{attest: attest},
 	}
 }
 
@@ -89,16 +79,10 @@
 	// releaseDelay is how long after the expiry of its lease a machine with cancelled tasks is
 	// released.
 	releaseDelay = 3 * clock.Second
-	// attestAfter is the age of the records beyond which the leader asks for attestations. It is longer
-	// than the watch of the records takes to confirm them.
-	attestAfter = 2*term.WatchTimeout + clock.Second
-	// attestMargin makes the window of an attestation overlap with the time whose cancellations are
-	// known.
-	attestMargin = 100 * clock.Millisecond
 )
 
 // Begin forgets a request for attestations that was sent in an earlier term.
-func (cn *Cancellations) Begin() { cn.attesting = false }
+func (cn *Cancellations) Begin() { cn.attestationState = attestationState{attest: cn.attest} }
 
 // EndCancelledTasks stops cancelled tasks by direct commands and releases the machines that don't execute
 // them. It does so even without the leader's lease: neither these stops nor these releases can harm a
@@ -158,45 +142,3 @@
 	}
 	return cn.BegunAt + leaseExpiry - machinetable.TakeoverTime
 }
-
-// RequestAttestations asks the controllers for attestations when the key-value store doesn't serve this
-// one. During an outage of the whole store no controller can accept a cancellation or win an election.
-// If all controllers attest what they have confirmed to users since the last known state, the tasks of
-// the workers may continue for as long as the outage lasts. A controller that has started since then,
-// or doesn't respond, can't attest that.
-func (cn *Cancellations) RequestAttestations() {
-	askedAt := cn.Now()
-	if cn.attesting || !cn.Loaded || cn.Leads() && askedAt < cn.RecordsKnownUntil+attestAfter {
-		return
-	}
-	cn.attesting = true
-	window := askedAt - cn.CancellationsKnownUntil()
-	window += window/1000 + attestMargin // clocks drift
-	cn.attest(window, term.Guarded2(cn.State, func(attestations []admission.Attestation, ok bool) {
-		cn.handleAttestations(attestations, ok, askedAt, window)
-	}))
-}
-
-// handleAttestations applies the attestations for the window before askedAt. complete reports that all
-// controllers have responded.
-func (cn *Cancellations) handleAttestations(attestations []admission.Attestation, complete bool,
-	askedAt, window clock.Micros) {
-	cn.attesting = false
-	for _, a := range attestations {
-		if a.Epoch > cn.Term.Epoch {
-			slog.Info("another controller was elected", "epoch", cn.Term.Epoch, "elected_epoch", a.Epoch)
-			cn.Depose(a.Epoch)
-			return
-		}
-		complete = complete && a.Age >= window
-		for _, c := range a.Cancelled {
-			if j := cn.jobs.ByID[c.Job]; j != nil {
-				cn.jobs.MarkCancelled(j, askedAt-c.Age)
-			}
-		}
-	}
-	if complete {
-		cn.AttestedAt = askedAt
-	}
-	cn.EndCancelledTasks()
-}
