Attestations reach back far enough however long the question takes

The store had refused the leader alone, and its question for attestations reached one controller 400 ms late.

Cause: the leader measured how far to look back when it asked, the controller counted it back from when it handled the question, and 100 ms were allowed between the two. What was told in the gap was counted as known and never asked for again. The age that proves that a process hasn't restarted was compared with the same length.

Change: the window allows for an exchange of 2 s, and when the responses are there the leader checks that window and ages reach back to the known time from that moment; otherwise it concludes nothing and asks again. This holds whatever delays a message, since every controller has handled the request by then. The message's form is as before.

--- a/internal/admission/attestation.go
+++ b/internal/admission/attestation.go
@@ -34,7 +34,8 @@
 	attestationHeaderBytes = 2 * microsBytes
 )
 
-// NewAttestationRequest returns a request for an attestation of the last lookback microseconds.
+// NewAttestationRequest returns a request for an attestation of the last lookback microseconds before a
+// controller handles the request, which may be long after it was sent.
 func NewAttestationRequest(lookback clock.Micros) Request {
 	return Request{Kind: GetAttestation, Body: binary.BigEndian.AppendUint64(nil, uint64(lookback))}
 }
--- a/internal/leader/helpers_test.go
+++ b/internal/leader/helpers_test.go
@@ -9,6 +9,7 @@
 	"postpoint/internal/kvstore/storetest"
 	"postpoint/internal/leader/jobtable"
 	"postpoint/internal/leader/machinetable"
+	"postpoint/internal/leader/reconciler"
 	"postpoint/internal/leader/term"
 	"postpoint/internal/protocol"
 	"postpoint/internal/settings"
@@ -16,12 +17,21 @@
 
 // newLeader returns a leader in epoch 7 that has loaded its records, and its mailbox, whose clock the
 // test sets.
-func newLeader() (*Leader, *actortest.SynchronousMailbox) {
+func newLeader() (*Leader, *actortest.SynchronousMailbox) { return newAttestedLeader(nil) }
+
+// newAttestedLeader is newLeader with a function that asks all controllers for attestations.
+func newAttestedLeader(attest reconciler.Attester) (*Leader, *actortest.SynchronousMailbox) {
 	mailbox := &actortest.SynchronousMailbox{Now: 100 * clock.Second}
 	set := &settings.Settings{}
 	set.Deployment.Workers = settings.Workers{HeartbeatS: 2, LeaseS: 12, GangPeerTimeoutS: 4, CancelS: 30}
 	set.Deployment.KVStore = settings.KVStore{Rps: 100, WriteRps: 40, ValueKb: 8, TxnOps: 5}
-	l := New(Dependencies{Mailbox: mailbox, Settings: set, Deposed: func(protocol.Epoch) {}, Resign: func() {}})
+	l := New(Dependencies{
+		Mailbox:  mailbox,
+		Settings: set,
+		Deposed:  func(protocol.Epoch) {},
+		Resign:   func() {},
+		Attest:   attest,
+	})
 	l.state.Term.Epoch, l.state.BegunAt = 7, mailbox.Now
 	l.state.Term.RenewedAt, l.state.Term.ValidUntil = mailbox.Now, mailbox.Now+4*clock.Second
 	l.jobs.ByID, l.jobs.Malformed = map[protocol.JobID]*jobtable.Job{}, map[protocol.JobID]bool{}
--- a/internal/leader/reconciler/attestations.go
+++ b/internal/leader/reconciler/attestations.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 
 	"postpoint/internal/admission"
 	"postpoint/internal/clock"
@@ -10,16 +11,20 @@
 )
 
 // Attester asks every controller, this one included, which cancellations it has confirmed to users in
-// the given window before now. ok means that all of them have responded.
+// the given window. Each controller counts the window back from when it handles the request. ok means
+// that all of them have responded.
 type Attester func(window clock.Micros, done func(attestations []admission.Attestation, ok bool))
 
 const (
 	// attestAfter is the age of the records beyond which the leader asks for attestations. It is longer
 	// than the watch of the records takes to confirm them.
 	attestAfter = 2*term.WatchTimeout + clock.Second
-	// attestMargin makes the window of an attestation overlap with the time whose cancellations are
-	// known.
-	attestMargin = 100 * clock.Millisecond
+	// maxAttestationTime is the longest time from a request for attestations to the last response for
+	// which the window allows. An exchange between controllers usually ends before that (package peer).
+	maxAttestationTime = 2 * clock.Second
+	// clockDriftDivisor is the inverse of the highest assumed drift between the monotonic clocks of two
+	// controllers.
+	clockDriftDivisor = 1000
 )
 
 // attestationState is the state of the requests for attestations.
@@ -32,13 +37,15 @@
 	lastGap attestationGap
 }
 
-// attestationGap is the reason why the attestations that a leader received don't cover their whole window.
+// attestationGap is the reason why the attestations that a leader received don't cover the whole time since
+// CancellationsKnownUntil.
 type attestationGap string
 
 const (
 	coverageUnknown attestationGap = ""
 	noGap           attestationGap = "none"
 	gapNoResponse   attestationGap = "a controller gave no attestation"
+	gapLate         attestationGap = "the responses took too long"
 	gapRestart      attestationGap = "a controller has started since"
 )
 
@@ -57,15 +64,20 @@
 		return
 	}
 	cn.attesting = true
-	window := askedAt - cn.CancellationsKnownUntil()
-	window += window/1000 + attestMargin // clocks drift
+	window := onOtherClock(askedAt + maxAttestationTime - cn.CancellationsKnownUntil())
 	cn.attest(window, term.Guarded2(cn.State, func(attestations []admission.Attestation, ok bool) {
 		cn.handleAttestations(attestations, ok, askedAt, window)
 	}))
 }
 
-// handleAttestations applies the attestations for the window before askedAt. complete reports that all
-// controllers have responded.
+// onOtherClock returns the longest time that another controller's clock may measure while this
+// controller's clock measures the given time.
+func onOtherClock(elapsed clock.Micros) clock.Micros { return elapsed + elapsed/clockDriftDivisor }
+
+// handleAttestations applies the attestations that were requested at askedAt. complete reports that all
+// controllers have responded. A request may arrive late, so a controller may have counted the window back
+// from any time between askedAt and now. The attestations cover the whole time since
+// CancellationsKnownUntil only if the window reaches back to it even from now.
 func (cn *Cancellations) handleAttestations(attestations []admission.Attestation, complete bool,
 	askedAt, window clock.Micros) {
 	cn.attesting = false
@@ -75,9 +87,10 @@
 		return
 	}
 	cancelled := cn.applyAttested(attestations, askedAt)
-	gap := gapIn(attestations, complete, window)
-	slog.Debug("attestations received", "window_s", window.Seconds(), "took_s",
-		(cn.Now() - askedAt).Seconds(), "responses", len(attestations), "cancelled_jobs", cancelled,
+	required := onOtherClock(cn.Now() - cn.CancellationsKnownUntil())
+	gap := gapIn(attestations, complete, window, required)
+	slog.Debug("attestations received", "window_s", window.Seconds(), "required_s", required.Seconds(),
+		"took_s", (cn.Now() - askedAt).Seconds(), "responses", len(attestations), "cancelled_jobs", cancelled,
 		"gap", string(gap))
 	cn.recordGap(gap)
 	if gap == noGap {
@@ -95,7 +108,9 @@
 	return highest
 }
 
-// applyAttested marks the jobs whose cancellation a controller has confirmed, and returns their number.
+// applyAttested marks the jobs whose cancellation a controller has confirmed, and returns their number. The
+// controllers measured the ages later than askedAt, so that the marked times are no later than the
+// confirmations.
 func (cn *Cancellations) applyAttested(attestations []admission.Attestation, askedAt clock.Micros) int {
 	cancelled := 0
 	for _, a := range attestations {
@@ -109,16 +124,17 @@
 	return cancelled
 }
 
-// gapIn returns why attestations don't cover their window. complete reports that all controllers have
-// responded.
-func gapIn(attestations []admission.Attestation, complete bool, window clock.Micros) attestationGap {
-	if !complete {
+// gapIn returns why attestations for a window don't cover the required time before now. complete reports
+// that all controllers have responded.
+func gapIn(attestations []admission.Attestation, complete bool,
+	window, required clock.Micros) attestationGap {
+	switch {
+	case !complete:
 		return gapNoResponse
-	}
-	for _, a := range attestations {
-		if a.Age < window {
-			return gapRestart
-		}
+	case window < required:
+		return gapLate
+	case slices.ContainsFunc(attestations, func(a admission.Attestation) bool { return a.Age < required }):
+		return gapRestart
 	}
 	return noGap
 }
--- a/internal/simulation/users.go
+++ b/internal/simulation/users.go
@@ -28,9 +28,12 @@
 
 // ask sends a user's request to a random controller. Status 0 means no response within userTimeout.
 func (d *Deployment) ask(r admission.Request, done func(status int, s protocol.JobStatus)) {
-	d.askNode(d.Nodes[d.World.Rand.IntN(len(d.Nodes))], r, done)
+	d.askNode(d.randomNode(), r, done)
 }
 
+// randomNode draws a controller.
+func (d *Deployment) randomNode() *Node { return d.Nodes[d.World.Rand.IntN(len(d.Nodes))] }
+
 // askNode sends a user's request to one controller.
 func (d *Deployment) askNode(n *Node, r admission.Request, done func(status int, s protocol.JobStatus)) {
 	finished := false
@@ -132,12 +135,17 @@
 
 // Cancel makes the user cancel an accepted job and retry until a controller confirms the cancellation.
 func (d *Deployment) Cancel(j *Job) {
-	if !j.accepted() {
-		return
+	if j.accepted() {
+		d.cancelAt(d.randomNode(), j)
 	}
+}
+
+// cancelAt makes the user send a cancellation to one controller, and retry it at random ones.
+func (d *Deployment) cancelAt(n *Node, j *Job) {
 	j.cancelRequested = true
 	before := j.finalStatus
-	d.ask(admission.Request{Kind: admission.Cancel, ID: j.spec.ID}, func(status int, s protocol.JobStatus) {
+	request := admission.Request{Kind: admission.Cancel, ID: j.spec.ID}
+	d.askNode(n, request, func(status int, s protocol.JobStatus) {
 		if status == http.StatusOK {
 			d.checkStatus(j, before, s)
 			return
