A pause between two clock readings makes a cancellation earlier, never later

Cause: a record's time of day is brought to the leader's monotonic clock by reading both clocks, the time of day first. Found while searching for other places that count a length from another moment than it was measured at.

Change: the monotonic clock is read first, so that a pause counts the other way.

--- a/internal/leader/term/term.go
+++ b/internal/leader/term/term.go
@@ -126,12 +126,15 @@
 // controller each differ from the true time by a bounded error, so the function subtracts this error
 // twice. For a record without the time it returns the present time.
 func (s *State) CancellationConfirmedAt(r *jobrecord.Record) clock.Micros {
+	// The process may be suspended between the readings of the two clocks. With the monotonic clock read
+	// first, that makes the result earlier and not later.
+	now := s.Now()
 	if r.CancelledAt == 0 {
-		return s.Now() // earlier versions didn't record the time
+		return now // earlier versions didn't record the time
 	}
 	clockError := clock.Micros(s.Settings.Deployment.ClockErrorMs * float64(clock.Millisecond))
 	age := max(0, s.Mailbox.TimeOfDay()-clock.Micros(r.CancelledAt))
-	return s.Now() - age - 2*clockError
+	return now - age - 2*clockError
 }
 
 // ActsUntil returns the time until which this controller may send commands and scale-in requests.
