A slow heartbeat doesn't postpone the end of a machine that the cloud reclaims

Cause: the time that a heartbeat gives until the cloud takes the machine away was counted from its arrival, and each heartbeat replaced the result of the one before. One that took seconds moved the end, and with it the stop that lets tasks save, that much too late.

Change: the earliest end that the heartbeats since the notice give counts.

Measured: TestSlowHeartbeatDoesNotPostponeReclaim fails with the calculation of before (42 s in place of 40), passes now.

--- a/internal/leader/machinetable/machine.go
+++ b/internal/leader/machinetable/machine.go
@@ -100,6 +100,20 @@
 	}
 }
 
+// applyReclaimNotice updates ReclaimAt from a heartbeat that arrived now. remainingS is the time until the
+// cloud reclaims the machine as of when the worker sent the heartbeat, nil without a notice. The heartbeat
+// may have taken long, so the earliest result of all heartbeats since the notice is the most exact one.
+func (s *WorkerStatus) applyReclaimNotice(remainingS *float64, now clock.Micros) {
+	if remainingS == nil {
+		s.ReclaimAt = 0
+		return
+	}
+	at := now + clock.FromSeconds(*remainingS)
+	if s.ReclaimAt == 0 || at < s.ReclaimAt {
+		s.ReclaimAt = at
+	}
+}
+
 // RunsTasks reports whether any task runs on the machine, even one that is in no record.
 func (s *WorkerStatus) RunsTasks() bool {
 	for _, t := range s.Tasks {
--- a/internal/leader/machinetable/machine_test.go
+++ b/internal/leader/machinetable/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"postpoint/internal/clock"
 	"postpoint/internal/jobrecord"
 	"postpoint/internal/protocol"
 )
@@ -59,3 +60,27 @@
 		t.Error("an expired lease drops a start that may still arrive, want it kept")
 	}
 }
+
+// Guards against a checkpoint that is begun too late because a heartbeat with the cloud's notice was slow:
+// the remaining time counts from when the worker sent the heartbeat, so a slow one must not postpone the end.
+func TestSlowHeartbeatDoesNotPostponeReclaim(t *testing.T) {
+	notice := func(s float64) *float64 { return &s }
+	m := newMachine("m-1", "", 0)
+	for _, step := range []struct {
+		name      string
+		remaining *float64
+		now, want clock.Micros
+	}{
+		{"no notice", nil, 10 * clock.Second, 0},
+		{"slow by 3 s", notice(30), 13 * clock.Second, 43 * clock.Second},
+		{"punctual", notice(26), 14 * clock.Second, 40 * clock.Second},
+		{"slow by 2 s", notice(25), 17 * clock.Second, 40 * clock.Second},
+		{"the notice is withdrawn", nil, 18 * clock.Second, 0},
+		{"another notice", notice(60), 20 * clock.Second, 80 * clock.Second},
+	} {
+		m.applyReclaimNotice(step.remaining, step.now)
+		if m.ReclaimAt != step.want {
+			t.Errorf("%s: reclaimed at %.3f s, want %.3f s", step.name, m.ReclaimAt.Seconds(), step.want.Seconds())
+		}
+	}
+}
--- a/internal/leader/machinetable/machinetable.go
+++ b/internal/leader/machinetable/machinetable.go
@@ -180,10 +180,7 @@
 		m.HeartbeatAt > m.IncarnationSeenAt+mt.Settings.Deployment.Workers.Lease()+leaseMargin {
 		m.ResponsesLost = false // this incarnation has outlasted its first lease: responses arrive again
 	}
-	m.ReclaimAt = 0
-	if heartbeat.ReclaimNoticeS != nil {
-		m.ReclaimAt = mt.Now() + clock.FromSeconds(*heartbeat.ReclaimNoticeS)
-	}
+	m.applyReclaimNotice(heartbeat.ReclaimNoticeS, m.HeartbeatAt)
 }
 
 // AddCachedImage adds an image to the estimate of the machine's image cache.
