--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -54,6 +54,7 @@
 	(*fault).cancelAndHang,
 	(*fault).sendInvalidRequests,
 	(*fault).slowStore,
+	(*fault).slowPeers,
 }
 
 // workerFaults lists the faults of workers. Each entry has the same chance; some faults have two entries.
--- a/internal/simulation/servicefaults.go
+++ b/internal/simulation/servicefaults.go
@@ -6,6 +6,9 @@
 	// nearTimeoutDelay delays requests to the store and responses so much that responses hardly ever arrive
 	// before the client's timeout.
 	nearTimeoutDelay = 700 * clock.Millisecond
+	// maxPeerDelay is the longest additional delay of a message between controllers. A request and its response
+	// mostly still arrive in time.
+	maxPeerDelay = 450 * clock.Millisecond
 	// lateWriteChance is the chance that the store executes a transaction late during the fault.
 	lateWriteChance = 0.3
 	// cancelAtEndChance is the chance that a user cancels a job at the moment of its end during the fault.
@@ -37,9 +40,13 @@
 }
 
 // rejectNodeBeforeOutage makes the store reject one controller while users cancel jobs through the others.
-// Soon afterwards the store rejects all controllers, perhaps for longer than a cancellation may take.
+// Soon afterwards the store rejects all controllers, perhaps for longer than a cancellation may take. The
+// controllers may be slow to reach each other meanwhile.
 func (f *fault) rejectNodeBeforeOutage() {
 	f.rejectNode()
+	if f.w.chance(0.5) {
+		f.slowPeers()
+	}
 	cancelRunning(f.d, f.w.Between(1, maxCancelled), 0)
 	f.w.After(f.w.Between(0, 3*clock.Second), func() {
 		f.outage(f.w.Between(2*clock.Second, 40*clock.Second))
@@ -67,6 +74,18 @@
 	})
 }
 
+// slowPeers delays the messages between controllers.
+func (f *fault) slowPeers() {
+	for _, n := range f.d.Nodes {
+		n.PeerLink.Delay = f.w.Between(0, maxPeerDelay)
+	}
+	f.w.After(f.duration, func() {
+		for _, n := range f.d.Nodes {
+			n.PeerLink.Delay = 0
+		}
+	})
+}
+
 // cancelAtEnd makes users cancel many jobs at the moment of their end.
 func (f *fault) cancelAtEnd() {
 	f.d.CancelAtEndChance = cancelAtEndChance
