--- a/internal/leader/reconciler/attestations.go
+++ b/internal/leader/reconciler/attestations.go
@@ -20,8 +20,9 @@
 	// than the watch of the records takes to confirm them.
 	attestAfter = 2*term.WatchTimeout + clock.Second
 	// maxAttestationTime is the longest time from a request for attestations to the last response for
-	// which the window allows. An exchange between controllers usually ends before that (package peer).
-	maxAttestationTime = 2 * clock.Second
+	// which the window allows. An exchange between controllers takes less (package peer); a leader whose
+	// own messages wait for longer refuses heartbeats anyway.
+	maxAttestationTime = 5 * clock.Second
 	// clockDriftDivisor is the inverse of the highest assumed drift between the monotonic clocks of two
 	// controllers.
 	clockDriftDivisor = 1000
