A lost start of a gang that is done no longer keeps its placement

The record of a gang that was done went on placing two tasks on a machine that listed neither, and held its team's limit and the machine.

Cause: while a start without a response may arrive, a placement stays, and for jobs that must not run the leader sent no start that would settle it. A cancelled job's placement ends with the lease, a done job's with nothing.

Change: for a job that is done the start goes again with a stop, as for any task that is to be stopped. Cancelled jobs: as before.

--- a/internal/leader/jobtable/job.go
+++ b/internal/leader/jobtable/job.go
@@ -115,6 +115,10 @@
 // MustNotRun reports whether no task of the job may start or keep running.
 func (j *Job) MustNotRun() bool { return j.Final() || j.MustEnd() }
 
+// MustNotStart reports whether no task of the job may start, not even to be stopped at once: the job is
+// cancelled, or a hosted job is closed or must end. Starts of a job that is done harm nobody.
+func (j *Job) MustNotStart() bool { return j.MustEnd() || j.Status == protocol.StatusCancelled }
+
 // MustEnd reports whether the remaining tasks of the job must end within the time limit for
 // cancellations: the job was cancelled, or its origin cell no longer permits it.
 func (j *Job) MustEnd() bool { return j.Cancelled || j.Permission != nil && j.Permission.Ending }
--- a/internal/leader/reconciler/commandset.go
+++ b/internal/leader/reconciler/commandset.go
@@ -45,10 +45,9 @@
 	}
 	for id, tasks := range ordered.ByKey(m.Placements) {
 		j := cs.jobs.ByID[id]
-		if j == nil || j.MustNotRun() || j.MustReload() {
-			// The leader sends no start for a job that must not run, not even one that a stop follows at
-			// once: while an earlier start may still arrive, the placement stays until the worker's
-			// incarnation ends.
+		if j == nil || j.MustNotStart() || j.MustReload() {
+			// While an earlier start may still arrive, the placement stays until the worker's incarnation
+			// ends.
 			continue
 		}
 		for _, p := range ordered.ByKey(tasks) {
@@ -93,8 +92,8 @@
 	}
 	stop := set.sender.stopRequest(j, p)
 	d := m.Delivery(ref)
-	// If the task is to be stopped, a start that may still arrive is sent again before the stop: a late
-	// copy then has no effect.
+	// If the task is to be stopped, also because its job is done, a start that may still arrive is sent
+	// again before the stop: a late copy then has no effect.
 	startNeeded := !isListed && (stop == nil || d.MayArrive())
 	if startNeeded && set.repeatDue(d.StartSentAt) && j.StartPermitted(stop, set.now) {
 		set.add(protocol.VerbStart, ref)
--- a/internal/leader/reconciler_test.go
+++ b/internal/leader/reconciler_test.go
@@ -62,6 +62,28 @@
 	}
 }
 
+// Guards against a placement that takes its machine's and its team's capacity for as long as the machine is up.
+// A gang is done as soon as one of its tasks is, while the start of another may still arrive. The leader sends
+// that start again together with a stop, so that the worker lists the task and the placement ends.
+func TestLostStartOfDoneGangKeepsNoPlacement(t *testing.T) {
+	l, j, m, _ := leaderWithOneTask(t)
+	l.reconciler.Observe(m, workerHeartbeat(1, 1))
+	m.Deliveries[firstAttempt] = &machinetable.StartDelivery{OutcomeUnknown: true}
+	j.Status = protocol.StatusDone
+	l.reconciler.Observe(m, workerHeartbeat(1, 2))
+	if len(j.Placements) != 1 {
+		t.Fatal("the placement was released though a start may arrive, want it kept")
+	}
+	commands := l.commands.CommandsFor(m, reconciler.ViaHeartbeat)
+	if len(commands) != 2 || commands[0].Verb != protocol.VerbStart || commands[1].Verb != protocol.VerbStop {
+		t.Fatalf("got commands %v, want a start and a stop", commands)
+	}
+	l.reconciler.Observe(m, workerHeartbeat(1, 3, firstTaskStatus(protocol.TaskExited, protocol.CauseStopped)))
+	if len(j.Placements) != 0 {
+		t.Fatalf("got placements %v of a task that has exited, want none", j.Placements)
+	}
+}
+
 // Once the lease of an incarnation has certainly expired, the leader has released its placements. A
 // delayed heartbeat of this incarnation must not make the machine usable again; a heartbeat of the next
 // incarnation does.
