--- a/internal/leader/machinetable/machine.go
+++ b/internal/leader/machinetable/machine.go
@@ -228,6 +228,8 @@
 	CommandInFlight bool
 	// PushPending reports that another direct command has to follow that response.
 	PushPending bool
+	// UnansweredAt is when the last direct command without a response ended, 0 if there was none.
+	UnansweredAt clock.Micros
 	// EpochAnnouncedAt is when the leader's epoch was last announced by a direct command.
 	EpochAnnouncedAt clock.Micros
 	// ProbedAt is when the worker was last asked whether it is reachable.
--- a/internal/leader/machinetable/machinetable.go
+++ b/internal/leader/machinetable/machinetable.go
@@ -212,6 +212,23 @@
 	return zones
 }
 
+// MostMachinesOnTime reports whether at least half of all machines send heartbeats on time. If not, it is
+// more likely that this controller receives nothing than that the machines are silent.
+func (mt *Table) MostMachinesOnTime() bool {
+	var total HeartbeatCount
+	for _, zone := range mt.HeartbeatsByZone() {
+		total.OnTime += zone.OnTime
+		total.Expected += zone.Expected
+	}
+	return total.MostOnTime()
+}
+
+// SilentFor reports whether a machine has sent no heartbeat for the given time, neither by itself nor in
+// response to a direct command, of which at least one has failed since.
+func (mt *Table) SilentFor(m *Machine, d clock.Micros) bool {
+	return m.UnansweredAt > m.HeartbeatAt && mt.Now() > max(m.HeartbeatAt, mt.BegunAt)+d
+}
+
 // HeartbeatMissed reports whether a machine's heartbeat is late or none has arrived in this term. A new
 // leader first waits TakeoverTime, so that workers can find it.
 func (mt *Table) HeartbeatMissed(m *Machine) bool {
--- a/internal/leader/reconciler/cancellations.go
+++ b/internal/leader/reconciler/cancellations.go
@@ -1,6 +1,8 @@
 package reconciler
 
 import (
+	"sync"
+
 	"postpoint/internal/cells"
 	"postpoint/internal/clock"
 	"postpoint/internal/leader/jobtable"
@@ -32,7 +34,9 @@
 //   - Without its own lease, it sends nothing but stops of cancelled tasks (commandSet.addCancellations)
 //     and releases of machines that hold them (Autoscaler.SendReleases): no later leader could decide
 //     otherwise.
-//   - It releases a machine whose worker hangs, and so doesn't stop its tasks, at C + lease_s + 3 s, but
+//   - It releases a machine whose worker hangs, and so doesn't stop its tasks, once the machine has been
+//     silent for half of the lease (Cancellations.hangs): the more time is left, the longer the cloud may
+//     be unavailable. Any other machine that doesn't stop its tasks is released at C + lease_s + 3 s, but
 //     no later than C + cancel_s - MaxReleaseTime (Cancellations.ReleaseAt). When the lease of a silent
 //     machine that holds cancelled tasks expires, it releases the machine at once
 //     (HealthMonitor.expireLease).
@@ -88,35 +92,58 @@
 // them. It does so even without the leader's lease: neither these stops nor these releases can harm a
 // later leader.
 func (cn *Cancellations) EndCancelledTasks() {
-	now := cn.Now()
+	mostOnTime := sync.OnceValue(cn.machines.MostMachinesOnTime)
 	for _, j := range ordered.ByKey(cn.jobs.ByID) {
 		if j.MustNotRun() {
-			cn.endPlacements(j, now)
+			cn.endPlacements(j, mostOnTime)
 		}
 	}
 	cn.Releases.SendReleases()
 }
 
-// endPlacements stops the remaining tasks of a job that must not run.
-func (cn *Cancellations) endPlacements(j *jobtable.Job, now clock.Micros) {
+// endPlacements stops the remaining tasks of a job that must not run. mostOnTime reports whether most
+// machines send heartbeats on time.
+func (cn *Cancellations) endPlacements(j *jobtable.Job, mostOnTime func() bool) {
 	for _, p := range ordered.ByKey(j.Placements) {
 		if p.HostCell() != "" {
 			continue // the host cell ends it, at the latest when its permission expires
 		}
 		m := cn.machines.GetOrAdd(p.Machine)
-		if j.MustEnd() && now > cn.ReleaseAt(j) {
+		switch {
+		case !j.MustEnd() || m.Overdue:
+		case cn.hangs(m) && mostOnTime():
+			cn.machines.ScheduleOverdueRelease(m, machinetable.ReleaseSilentCancelled)
+		case cn.Now() > cn.ReleaseAt(j):
 			cn.machines.ScheduleOverdueRelease(m, machinetable.ReleaseCancelledRemaining)
 		}
 		if !m.Releasing {
 			cn.commands.Push(m)
+			cn.probeIfSilent(m)
 		}
 	}
 }
 
-// ReleaseAt returns when the leader releases a machine that holds tasks of a cancelled job. By then the
-// lease has expired on a worker that runs but can't be reached, and the worker has stopped its tasks; a
-// worker that hangs holds its tasks until the machine is gone. A new leader first gives workers time to
-// send a heartbeat, as long as the release can still be in time.
+// probeIfSilent asks a machine whose heartbeat is late for one, unless a command is in flight or has failed
+// since its last heartbeat. It may have no commands that would show whether it responds.
+func (cn *Cancellations) probeIfSilent(m *machinetable.Machine) {
+	if m.CommandInFlight || m.Address == "" || m.UnansweredAt > m.HeartbeatAt {
+		return
+	}
+	if cn.machines.HeartbeatMissed(m) {
+		cn.commands.Probe(m)
+	}
+}
+
+// hangs reports whether a machine has been silent for half of the lease, so that its worker probably
+// hangs. Its other tasks are lost with the machine, which would be too much for a shorter silence.
+func (cn *Cancellations) hangs(m *machinetable.Machine) bool {
+	return cn.machines.SilentFor(m, cn.Settings.Deployment.Workers.Lease()/2)
+}
+
+// ReleaseAt returns when the leader releases a machine that holds tasks of a cancelled job, silent or
+// not. By then the lease has expired on a worker that runs but can't be reached, and the worker has
+// stopped its tasks; a worker that hangs holds its tasks until the machine is gone. A new leader first
+// gives workers time to send a heartbeat, as long as the release can still be in time.
 func (cn *Cancellations) ReleaseAt(j *jobtable.Job) clock.Micros {
 	if j.Permission != nil {
 		return cn.releaseHostedAt(j)
--- a/internal/leader/reconciler/commands.go
+++ b/internal/leader/reconciler/commands.go
@@ -90,6 +90,9 @@
 		}
 		m.CommandInFlight = false
 		result := resultOf(m.Name, &r)
+		if result.Outcome == OutcomeUnknown {
+			m.UnansweredAt = cs.Now()
+		}
 		done(result)
 		if result.Heartbeat != nil {
 			cs.reconciler.Observe(m, r.Status)
--- a/internal/leader/reconciler/health.go
+++ b/internal/leader/reconciler/health.go
@@ -62,15 +62,10 @@
 // whose replicas could run nowhere else: if a whole zone is unreachable, the replicas may still serve
 // users inside it.
 func (hm *HealthMonitor) ReleaseSilentWithReplicas() {
-	zones := hm.machines.HeartbeatsByZone()
-	var total machinetable.HeartbeatCount
-	for _, z := range zones {
-		total.OnTime += z.OnTime
-		total.Expected += z.Expected
-	}
-	if !total.MostOnTime() {
+	if !hm.machines.MostMachinesOnTime() {
 		return
 	}
+	zones := hm.machines.HeartbeatsByZone()
 	now := hm.Now()
 	for _, m := range hm.machines.Ordered {
 		switch {
--- a/internal/simulation/cancellation_test.go
+++ b/internal/simulation/cancellation_test.go
@@ -76,6 +76,31 @@
 	mustBeDone(t, w, other)
 }
 
+// A worker hangs, a user cancels what runs there, and the cloud is out for 20 s from any time on. The leader
+// must ask the cloud so early that the worker is gone cancel_s after the confirmation whenever the outage
+// begins.
+func TestHungWorkerIsReleasedDespiteCloudOutage(t *testing.T) {
+	const outage = 20 * clock.Second
+	cancelTime := clock.FromSeconds(testSettings().Deployment.Workers.CancelS)
+	for begins := clock.Micros(0); begins < cancelTime; begins += clock.Second {
+		w, d, j, _ := twoJobs(t, 44, 300*clock.Second)
+		hung := sortedKeys(j.machines[0])[0]
+		hung.Hung = true
+		w.Run(w.Now() + clock.Second)
+		confirmCancel(w, d, j)
+		confirmedAt := w.Now()
+		w.Run(confirmedAt + begins)
+		d.Cloud.Outage = true
+		w.Run(min(w.Now()+outage, confirmedAt+cancelTime))
+		d.Cloud.Outage = w.Now() < confirmedAt+begins+outage
+		w.Run(confirmedAt + cancelTime)
+		if !hung.ended {
+			t.Errorf("the cloud is out from %.0f s after the confirmation on, and %s isn't released, want it released",
+				begins.Seconds(), hung.name)
+		}
+	}
+}
+
 // The cloud rejects all requests while a worker hangs with cancelled tasks. The leader must retry its
 // release, before any other request, until the cloud responds.
 func TestRefusedReleasesAreRetried(t *testing.T) {
@@ -84,9 +109,11 @@
 	d.Cancel(j)
 	w.Run(w.Now() + 3*clock.Millisecond)
 	hung.Hung = true
-	w.Run(w.Now() + 10*clock.Second)
 	d.Cloud.Outage = true
-	w.Run(w.Now() + 19*clock.Second)
+	w.Run(w.Now() + 29*clock.Second)
+	if hung.ended {
+		t.Fatal("the worker is released during the outage, want its release rejected")
+	}
 	d.Cloud.Outage = false // 900 ms are left
 	w.Run(w.Now() + 20*clock.Second)
 	mustKeepRules(t, w)
--- a/internal/simulation/servicefaults.go
+++ b/internal/simulation/servicefaults.go
@@ -6,8 +6,8 @@
 	// nearTimeoutDelay delays requests to the store and responses so much that responses hardly ever arrive
 	// before the client's timeout.
 	nearTimeoutDelay = 700 * clock.Millisecond
-	// maxPeerDelay is the longest additional delay of a message between controllers. A request and its response
-	// mostly still arrive in time.
+	// maxPeerDelay is the longest additional delay of a message between controllers. A request and its
+	// response mostly still arrive in time.
 	maxPeerDelay = 450 * clock.Millisecond
 	// lateWriteChance is the chance that the store executes a transaction late during the fault.
 	lateWriteChance = 0.3
