Refused renewals go again at once, the election's and a new leader's reads wait for no user

Cause, first part: the controllers together send more than the store serves, it refuses renewals like everything else, and a refused renewal waited for the next ordinary one: five refused ones in a row ended the lease. A candidate's read of the leader's key and a new leader's reads of the records waited in one queue with users' questions.

Change: a renewal that the store refuses for its rate goes again after 100 ms; the election's reads have no budget and its connections; the leader's reads have the share of all requests.

Not mended by this: the controllers still send 1.8 times what the store serves, and six in ten questions are refused there.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -63,8 +63,11 @@
 	resignPause = 12 * clock.Second
 	// resignedPollInterval is the longest pause between reads of the key during resignPause.
 	resignedPollInterval = clock.Second
-	// renewalsPerTTL is the number of renewals that the leader sends within one TTL.
+	// renewalsPerTTL is the number of renewals that the leader sends within one TTL, apart from retries.
 	renewalsPerTTL = 5
+	// renewalRetryDelay is the delay before the retry of a renewal that the store refused for its rate
+	// limit, which has room again within some milliseconds.
+	renewalRetryDelay = 100 * clock.Millisecond
 	// maxCheckToEffect is the part of the margin for the time between a check of the term and the effect
 	// of the checked action.
 	maxCheckToEffect = 200 * clock.Millisecond
@@ -102,6 +105,8 @@
 	observedAt clock.Micros
 	// round counts the transitions between states.
 	round int
+	// retryingRenewal reports that a refused renewal is about to be retried.
+	retryingRenewal bool
 }
 
 // New returns a candidate that does nothing until Start. From its mailbox it calls publishTerm with
@@ -321,27 +326,51 @@
 // renew sends a renewal and schedules the next one without waiting for the response: a renewal that
 // hangs must not let the lease expire.
 func (c *Candidate) renew() {
+	same := c.sameTerm()
+	c.sendRenewal()
+	c.mailbox.After(c.cfg.TTL/renewalsPerTTL, func() {
+		if same() {
+			c.renew()
+		}
+	})
+}
+
+// sendRenewal sends one renewal.
+func (c *Candidate) sendRenewal() {
 	sent, same := c.mailbox.Monotonic(), c.sameTerm()
 	c.store.Renew(c.lease, func(err error) {
 		if same() {
 			c.handleRenewalResult(sent, err)
 		}
 	})
-	c.mailbox.After(c.cfg.TTL/renewalsPerTTL, func() {
+}
+
+// retryRenewal retries a renewal soon, unless a retry is due already.
+func (c *Candidate) retryRenewal() {
+	if c.retryingRenewal {
+		return
+	}
+	c.retryingRenewal = true
+	same := c.sameTerm()
+	c.mailbox.After(renewalRetryDelay, func() {
+		c.retryingRenewal = false
 		if same() {
-			c.renew()
+			c.sendRenewal()
 		}
 	})
 }
 
 // handleRenewalResult handles the result of a renewal. Only an expired lease ends the term; after any
-// other failure the next renewal follows.
+// other failure the next renewal follows, very soon if the store only serves too many requests at
+// present.
 func (c *Candidate) handleRenewalResult(sent clock.Micros, err error) {
 	switch {
 	case err == nil:
 		if sent > c.term.RenewedAt {
 			c.extendTerm(sent)
 		}
+	case errors.Is(err, kvstore.ErrThrottled):
+		c.retryRenewal()
 	case errors.Is(err, kvstore.ErrLeaseNotFound):
 		slog.Info("leadership lost: the lease expired", "epoch", c.term.Epoch)
 		c.stepDown()
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -190,6 +190,32 @@
 	}
 }
 
+// Guards against a leader that loses its lease because the store refuses requests beyond its rate limit: the
+// store serves many requests in the time between two ordinary renewals, and a refused renewal goes again soon.
+func TestThrottledRenewalIsRetriedSoon(t *testing.T) {
+	x := newLeader()
+	x.mailbox.now += clock.Second
+	x.store.renew(kvstore.ErrThrottled)
+	x.store.renew(kvstore.ErrThrottled) // another refusal before the retry
+	if len(x.store.renewed) != 1 {
+		t.Fatalf("%d renewals sent at once, want the retry to wait", len(x.store.renewed))
+	}
+	x.mailbox.advance(renewalRetryDelay) // the next ordinary renewal is handled too
+	if len(x.store.renewed) != 3 {
+		t.Fatalf("%d renewals sent, want the retry and the next ordinary one", len(x.store.renewed))
+	}
+	x.store.renew(nil)
+	if sent := x.mailbox.now; x.term.RenewedAt != sent {
+		t.Fatalf("renewed at %d, want %d", x.term.RenewedAt, sent)
+	}
+	x.store.renew(kvstore.ErrUnavailable)
+	before := len(x.store.renewed)
+	x.mailbox.advance(0) // the next ordinary renewal
+	if got := len(x.store.renewed) - before; got != 1 {
+		t.Fatalf("%d renewals after an outage's refusal, want only the ordinary one", got)
+	}
+}
+
 // A higher epoch from a worker proves that another controller was elected, so the leader steps down.
 // Its own epoch proves nothing.
 func TestOnlyHigherEpochDeposes(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,7 +81,7 @@
 	return leader.New(leader.Dependencies{
 		Mailbox:          mailbox,
 		Settings:         e.Settings,
-		Store:            e.Store(mailbox, kvstore.ReadsOfUsers),
+		Store:            e.Store(mailbox, kvstore.ReadsOfLeader),
 		Cloud:            e.Cloud,
 		Workers:          e.Workers,
 		Deposed:          func(epoch protocol.Epoch) { n.Candidate.ObserveEpoch(epoch) },
@@ -123,7 +123,7 @@
 		n.Admission.RecordElection(t.Epoch)
 		n.Leader.SetTerm(t)
 	}
-	store := e.Store(mailbox, kvstore.ReadsOfUsers)
+	store := e.Store(mailbox, kvstore.ReadsOfElection)
 	return election.New(mailbox, store, e.Election, publishTerm, n.Leader.SetLeader)
 }
 
@@ -140,7 +140,7 @@
 	mailbox := e.Mailboxes.Rollout
 	// The election starts after the publication, so that other controllers know which format this node reads
 	// before it writes records.
-	store := e.Store(mailbox, kvstore.ReadsOfUsers)
+	store := e.Store(mailbox, kvstore.ReadsOfElection) // the election waits for the rollout
 	return rollout.New(mailbox, store, e.Settings.Node, e.Settings.Nodes(), format, n.Candidate.Start,
 		onStatus)
 }
