Status queries share requests for the changes, so that the store's load doesn't grow with them

Cause: each query read its record by itself, and a refused one was tried up to six times more.

Change: kvstore.SharedReads keeps the records that were read or have changed since, and brings them up to date by one request for all changes since the last, at most ten times a second. A query is answered once such a request was sent after it came, so that the answer includes everything that the store had executed by then; a value read by itself is kept only if no response of that kind came meanwhile.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -5,6 +5,7 @@
 
 	"postpoint/internal/actor"
 	"postpoint/internal/clock"
+	"postpoint/internal/jobrecord"
 	"postpoint/internal/kvstore"
 	"postpoint/internal/protocol"
 	"postpoint/internal/rollout"
@@ -16,11 +17,13 @@
 
 // Admission is the actor that handles the requests of users and controllers.
 type Admission struct {
-	mailbox  actor.Mailbox
-	store    kvstore.Store
-	settings *settings.Settings
-	forward  Forward
-	types    []protocol.MachineType // empty until the first catalogue arrives
+	mailbox actor.Mailbox
+	store   kvstore.Store
+	// sharedReads reads records for users' questions.
+	sharedReads *kvstore.SharedReads
+	settings    *settings.Settings
+	forward     Forward
+	types       []protocol.MachineType // empty until the first catalogue arrives
 	// formatOpen reports that all controllers support services and sharded records.
 	formatOpen bool
 	// memoryFull reports that the process is too close to its memory limit to accept new jobs.
@@ -43,6 +46,7 @@
 	return &Admission{
 		mailbox:       m,
 		store:         s,
+		sharedReads:   kvstore.NewSharedReads(s, m, jobrecord.Prefix, probeKey),
 		settings:      config,
 		forward:       forward,
 		memoryFull:    func() bool { return false },
--- a/internal/admission/call.go
+++ b/internal/admission/call.go
@@ -103,10 +103,14 @@
 	c.admission.mailbox.After(retryDelay, c.execute)
 }
 
+// recordReader reads the value of a record's key.
+type recordReader func(key string, done func(kvstore.Result[protocol.Item]))
+
 // readRecord reads the record of a job; record is nil if there is none.
-func (c *call) readRecord(id protocol.JobID, done func(record *jobrecord.Record, version protocol.Revision)) {
+func (c *call) readRecord(read recordReader, id protocol.JobID,
+	done func(record *jobrecord.Record, version protocol.Revision)) {
 	key := jobrecord.Key(id)
-	c.admission.store.Get(key, func(r kvstore.Result[protocol.Item]) {
+	read(key, func(r kvstore.Result[protocol.Item]) {
 		result := storeResultOf(r.Err)
 		c.admission.recordStoreResult(result)
 		switch result {
@@ -132,13 +136,15 @@
 	}
 	if record.Final() {
 		c.admission.cacheFinalStatus(record.UserStatus())
+		c.admission.sharedReads.Forget(key)
 	}
 	done(record, item.Version)
 }
 
 // findRecord reads the record of the job that the request names. It responds without calling done if
 // the final status is cached or there is no such job.
-func (c *call) findRecord(done func(record *jobrecord.Record, version protocol.Revision)) {
+func (c *call) findRecord(read recordReader,
+	done func(record *jobrecord.Record, version protocol.Revision)) {
 	id := c.request.ID
 	if final, ok := c.admission.finalStates[id]; ok {
 		c.finish(knownJob(final))
@@ -148,7 +154,7 @@
 		c.fail(outcomeNoSuchJob, reasonNoSuchJob)
 		return
 	}
-	c.readRecord(id, func(record *jobrecord.Record, version protocol.Revision) {
+	c.readRecord(read, id, func(record *jobrecord.Record, version protocol.Revision) {
 		if record == nil {
 			c.fail(outcomeNoSuchJob, reasonNoSuchJob)
 			return
--- a/internal/admission/cancellation.go
+++ b/internal/admission/cancellation.go
@@ -8,7 +8,7 @@
 
 // cancel commits the cancellation. After that no placement of the job can be committed.
 func (c *call) cancel() {
-	c.findRecord(func(record *jobrecord.Record, version protocol.Revision) {
+	c.findRecord(c.admission.store.Get, func(record *jobrecord.Record, version protocol.Revision) {
 		if record.Final() {
 			c.finish(knownJob(record.UserStatus()))
 			return
--- a/internal/admission/helpers_test.go
+++ b/internal/admission/helpers_test.go
@@ -48,6 +48,11 @@
 	done(lookup(s.values, s.down, key, 5))
 }
 
+// List tells no revision, so that no reads are shared.
+func (s *fakeStore) List(_, _ string, done func(kvstore.Result[protocol.ItemList])) {
+	done(kvstore.Result[protocol.ItemList]{})
+}
+
 // lookup returns a store's result for a key; version is the version of a key that is found.
 func lookup(
 	values map[string][]byte, down bool, key string, version protocol.Revision,
--- a/internal/admission/status.go
+++ b/internal/admission/status.go
@@ -8,9 +8,9 @@
 	"postpoint/internal/protocol"
 )
 
-// getStatus responds with the status of a job.
+// getStatus responds with the status of a job. Users ask so often that their reads share requests.
 func (c *call) getStatus() {
-	c.findRecord(func(record *jobrecord.Record, _ protocol.Revision) {
+	c.findRecord(c.admission.sharedReads.Get, func(record *jobrecord.Record, _ protocol.Revision) {
 		if record.ShardSize > 0 && !record.Final() {
 			c.getShardedStatus(record)
 			return
--- a/internal/admission/submission.go
+++ b/internal/admission/submission.go
@@ -23,7 +23,7 @@
 		return
 	}
 	// A retry of an accepted submission is never rejected, whatever it contains.
-	c.readRecord(spec.ID, func(record *jobrecord.Record, _ protocol.Revision) {
+	c.readRecord(c.admission.store.Get, spec.ID, func(record *jobrecord.Record, _ protocol.Revision) {
 		if record != nil {
 			c.finish(knownJob(record.UserStatus()))
 			return
@@ -87,7 +87,7 @@
 
 // confirmCreated reads the record after a conflict or an unknown outcome, to find out whether it exists.
 func (c *call) confirmCreated() {
-	c.readRecord(c.spec.ID, func(record *jobrecord.Record, _ protocol.Revision) {
+	c.readRecord(c.admission.store.Get, c.spec.ID, func(record *jobrecord.Record, _ protocol.Revision) {
 		if record == nil {
 			c.fail(outcomeUnconfirmed, reasonUnconfirmed)
 			return
--- a/internal/kvstore/budgeted.go
+++ b/internal/kvstore/budgeted.go
@@ -10,12 +10,13 @@
 
 // Budgeted returns a store whose reads and transactions first wait for the budget. All actors of a process
 // share one budget. Callbacks run in the given mailbox, whose clock counts the waits. The priority is that of
-// the actor's reads.
+// the actor's reads. A watch that doesn't wait for changes is a read; other watches and the requests for
+// leases have no budget.
 func Budgeted(store Store, budget *Budget, reads ReadPriority, mailbox actor.Mailbox) Store {
 	return &budgetedStore{Store: store, budget: budget, reads: reads, mailbox: mailbox}
 }
 
-// budgetedStore is a Store for one actor. Watches, and the requests for leases, have no budget.
+// budgetedStore is a Store for one actor.
 type budgetedStore struct {
 	Store
 	budget  *Budget
@@ -52,6 +53,18 @@
 		func(err error) { done(Result[protocol.ItemList]{Err: err}) })
 }
 
+// Watch implements Store.
+func (s *budgetedStore) Watch(prefix string, from protocol.Revision, block clock.Micros,
+	done func(Result[protocol.WatchResponse])) {
+	send := func() { s.Store.Watch(prefix, from, block, done) }
+	if block > 0 {
+		send()
+		return
+	}
+	wait, err := s.budget.ReserveRead(s.reads, s.now())
+	s.afterWait(wait, err, send, func(err error) { done(Result[protocol.WatchResponse]{Err: err}) })
+}
+
 // Commit implements Store.
 func (s *budgetedStore) Commit(priority Priority, t protocol.Txn, done func(Result[protocol.Revision])) {
 	wait, err := s.budget.ReserveCommit(priority, len(t.Changes), s.now())
--- a/internal/simulation/overload_test.go
+++ b/internal/simulation/overload_test.go
@@ -69,7 +69,8 @@
 }
 
 // Users ask for the status of their jobs many times as often as usual. The controllers together must not send
-// the store so much more than it serves that the leader loses its lease, and with it the workers theirs.
+// the store so much more than it serves that the leader loses its lease, and with it the workers theirs, and
+// the users must get their answers.
 func TestQuestionsCostNoLease(t *testing.T) {
 	for seed := uint64(1); seed < 4; seed++ {
 		w, d, jobs := manySmallJobs(t, seed, 140)
@@ -86,6 +87,14 @@
 		if lost := workersWithExpiredLease(d); lost > 0 {
 			t.Errorf("seed %d: the leases of %d workers expired, want none", seed, lost)
 		}
+		if 10*q.answered < 9*(q.answered+q.refused) {
+			t.Errorf("seed %d: %d questions answered and %d not, want nine in ten answered", seed, q.answered,
+				q.refused)
+		}
+		if most := 2 * int(d.Settings.Deployment.KVStore.Rps); d.Store.Refused > most {
+			t.Errorf("seed %d: the store refused %d requests, want no more than in two seconds of its limit, %d",
+				seed, d.Store.Refused, most)
+		}
 		mustKeepRules(t, w)
 	}
 }
