--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -29,8 +29,10 @@
 	// memoryFull reports that the process is too close to its memory limit to accept new jobs.
 	memoryFull func() bool
 	// finalStates caches the status of final jobs, by job. Such a status never changes.
-	finalStates  map[protocol.JobID]protocol.JobStatus
-	availability availability
+	finalStates map[protocol.JobID]protocol.JobStatus
+	// shardedStatuses keeps recent statuses of sharded jobs.
+	shardedStatuses shardedStatuses
+	availability    availability
 	// startedAt is when this process started, epoch the highest epoch of its elections.
 	startedAt clock.Micros
 	epoch     protocol.Epoch
@@ -44,16 +46,17 @@
 // forward.
 func New(m actor.Mailbox, s kvstore.Store, config *settings.Settings, forward Forward) *Admission {
 	return &Admission{
-		mailbox:       m,
-		store:         s,
-		sharedReads:   kvstore.NewSharedReads(s, m, jobrecord.Prefix, probeKey),
-		settings:      config,
-		forward:       forward,
-		memoryFull:    func() bool { return false },
-		finalStates:   map[protocol.JobID]protocol.JobStatus{},
-		startedAt:     m.Monotonic(),
-		cancellations: newCancellationLog(),
-		zoneReports:   func(reply func(ZoneReports)) { reply(ZoneReports{Node: config.Node}) },
+		mailbox:         m,
+		store:           s,
+		sharedReads:     kvstore.NewSharedReads(s, m, jobrecord.Prefix, probeKey),
+		settings:        config,
+		forward:         forward,
+		memoryFull:      func() bool { return false },
+		finalStates:     map[protocol.JobID]protocol.JobStatus{},
+		shardedStatuses: shardedStatuses{},
+		startedAt:       m.Monotonic(),
+		cancellations:   newCancellationLog(),
+		zoneReports:     func(reply func(ZoneReports)) { reply(ZoneReports{Node: config.Node}) },
 	}
 }
 
--- a/internal/admission/status.go
+++ b/internal/admission/status.go
@@ -10,25 +10,35 @@
 
 // getStatus responds with the status of a job. Users ask so often that their reads share requests.
 func (c *call) getStatus() {
-	c.findRecord(c.admission.sharedReads.Get, func(record *jobrecord.Record, _ protocol.Revision) {
+	c.findRecord(c.admission.sharedReads.Get, func(record *jobrecord.Record, version protocol.Revision) {
 		if record.ShardSize > 0 && !record.Final() {
-			c.getShardedStatus(record)
+			c.getShardedStatus(record, version)
 			return
 		}
 		c.finish(knownJob(record.UserStatus()))
 	})
 }
 
-// getShardedStatus reads the shards of a record to complete the status of the job. If a read fails, the
-// response contains the status as far as the head and the shards that were read show it.
-func (c *call) getShardedStatus(record *jobrecord.Record) {
+// getShardedStatus reads the shards of a record to complete the status of the job, unless they were read a
+// moment ago. If a read fails, the response contains the status as far as the head and the shards that were
+// read show it.
+func (c *call) getShardedStatus(record *jobrecord.Record, version protocol.Revision) {
+	now := c.admission.mailbox.Monotonic()
+	if status, recent := c.admission.shardedStatuses.get(record.Spec.ID, version, now); recent {
+		c.finish(knownJob(status))
+		return
+	}
 	prefix := jobrecord.JobShardsPrefix(record.Spec.ID)
 	apply := func(page protocol.ItemList) (more bool) {
 		applyShards(record, page.Items)
 		return true
 	}
-	kvstore.WalkPages(c.admission.store, prefix, "", apply, func(error, string) {
-		c.finish(knownJob(record.UserStatus()))
+	kvstore.WalkPages(c.admission.store, prefix, "", apply, func(err error, _ string) {
+		status := record.UserStatus()
+		if err == nil {
+			c.admission.shardedStatuses.put(status, version, now)
+		}
+		c.finish(knownJob(status))
 	})
 }
 
