--- a/review/_standins-2/chaos.go
+++ b/review/_standins-2/chaos.go
@@ -97,7 +97,29 @@
 			}
 			free := func() { w.Do(func() { busy[n] = false }) }
 			mode := []string{"hold", "drop", "refuse"}[r.IntN(3)]
-			switch r.IntN(12) {
+			switch r.IntN(14) {
+			case 12, 13: // the controller loses the network
+				if mode == "refuse" {
+					mode = "drop"
+				}
+				w.Do(func() { busy[n] = true })
+				gates := []*Gate{n.StoreGate, n.WorkerGate, n.CloudGate}
+				for _, o := range w.Nodes {
+					if o != n {
+						gates = append(gates, n.PeerGate[o.Name], o.PeerGate[n.Name])
+					}
+				}
+				w.Log("gate of everything of %s: %s", n.Name, mode)
+				for _, g := range gates {
+					g.Set(mode)
+				}
+				time.AfterFunc(secs(5, 35), func() {
+					w.Log("gate of everything of %s opens", n.Name)
+					for _, g := range gates {
+						g.Set("")
+					}
+					free()
+				})
 			case 0:
 				n.Kill()
 				time.Sleep([]time.Duration{secs(0.1, 0.6), 6 * time.Second}[r.IntN(2)])
