Review: controllers of a case get process groups of their own

Cause: a stopped controller got a hangup signal when the shell of a case ended. Change: each controller has its own process group.

--- a/review/_standins-2/world.go
+++ b/review/_standins-2/world.go
@@ -256,7 +256,7 @@
 	words := append(strings.Fields(n.w.program), n.settings)
 	cmd := exec.Command(words[0], words[1:]...)
 	cmd.Stderr, cmd.Stdout = logFile, logFile
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	must(cmd.Start())
 	n.cmd, n.wanted = cmd, true
 	exited := make(chan struct{})
