--- a/review/_standins-2/cases.go
+++ b/review/_standins-2/cases.go
@@ -31,6 +31,7 @@
 	cases["gang"] = gangCase
 	cases["limit"] = limitCase
 	cases["hang"] = hangCase
+	cases["reserve"] = reserveCase
 }
 
 // gangCase: a gang whose image takes longer to fetch than its tasks wait for each other.
@@ -91,7 +92,7 @@
 	return nil
 }
 
-// limitCase: a machine with many small tasks is lost.
+// limitCase: a machine with many small tasks is lost, and they all go to another one, on which another job runs.
 func limitCase(w *World) error {
 	const jobs, tasks = 6, 190
 	for p := range w.Cloud.Capacity {
@@ -101,62 +102,71 @@
 	if err := w.ready(); err != nil {
 		return err
 	}
-	var all []*Job
+	var small []*Job
 	for i := range jobs {
-		s := Spec(fmt.Sprintf("job-%06d", i+1), tasks, 0.01, 0.01)
-		s.Class, s.Spot = "scenarii", true
+		s := Spec(fmt.Sprintf("job-%06d", i+1), tasks, 0.005, 0.005)
+		s.Class, s.Spot, s.CheckpointS, s.SaveS = "scenarii", true, 15, 3
 		j := w.AddJob(s, 20)
 		j.Stagger = 200 * time.Millisecond
-		all = append(all, j)
+		small = append(small, j)
 		if !j.Submit() {
 			return fmt.Errorf("a job wasn't accepted")
 		}
 		time.Sleep(time.Second)
 	}
 	count := func(of func(j *Job) int) (n int) {
-		for _, j := range all {
+		for _, j := range small {
 			n += of(j)
 		}
 		return n
 	}
-	on := func(j *Job) int { return len(j.on) }
-	if !w.Until(20*time.Second, func() bool { return count(on) == jobs*tasks }) {
+	done := func(j *Job) int { return len(j.done) }
+	if !w.Until(20*time.Second, func() bool { return count(func(j *Job) int { return len(j.on) }) == jobs*tasks }) {
 		return fmt.Errorf("not all tasks run")
 	}
-	if !w.Trouble {
-		w.Until(110*time.Second-time.Since(w.began), func() bool {
-			return count(func(j *Job) int { return len(j.done) }) == jobs*tasks
-		})
-	} else {
+	// Another user's job, on a machine of its own.
+	w.Do(func() { w.Cloud.Capacity[Pool{"brad", "somes", false}] = 1 })
+	s := Spec("job-000100", 1, 1, 1.4)
+	s.Class = "scenarii"
+	other := w.AddJob(s, 60)
+	if !other.Submit() || !w.Until(20*time.Second, func() bool { return len(other.on) == 1 }) {
+		return fmt.Errorf("the other job doesn't run")
+	}
+	if w.Trouble {
 		w.Do(func() {
-			w.Log("the cloud takes %s back without notice", all[0].machineOf(0).Name)
-			w.Cloud.Remove(all[0].machineOf(0).Name)
+			m := small[0].machineOf(0)
+			w.Log("the cloud takes %s back without notice, and has no other one", m.Name)
+			w.Cloud.Remove(m.Name)
+			w.Cloud.Capacity[Pool{"stejar", "somes", true}] = 0
 		})
 	}
-	var first time.Time
-	starts, stuck := 0, false
+	var since time.Time
+	starts, stuck, over := 0, false, false
 	w.Until(112*time.Second-time.Since(w.began), func() bool {
-		oversize := 0
+		tooLarge := 0
 		for _, m := range w.Cloud.machines {
-			oversize += m.TooLarge
+			tooLarge += m.TooLarge
 		}
-		n := count(func(j *Job) int { return j.Starts })
-		if oversize > 0 && (first.IsZero() || n != starts) {
-			first, starts = time.Now(), n
+		n := count(func(j *Job) int { return j.Starts }) + other.Starts
+		if tooLarge > 0 && (since.IsZero() || n != starts) {
+			since, starts = time.Now(), n
 		}
-		stuck = !first.IsZero() && time.Since(first) > 60*time.Second
-		return stuck || count(func(j *Job) int { return len(j.done) }) == jobs*tasks
+		stuck = !since.IsZero() && time.Since(since) > 60*time.Second
+		over = count(done) == jobs*tasks && len(other.done) == 1
+		return stuck || over
 	})
 	w.Do(func() {
-		done := count(func(j *Job) int { return len(j.done) })
-		w.Log("%d of %d tasks done", done, jobs*tasks)
+		w.Log("%d of %d small tasks done, the other job's task done: %v, on a machine: %v", count(done), jobs*tasks,
+			len(other.done) == 1, len(other.on) == 1)
 		if stuck {
-			w.Break("an accepted job must run", "no task has started for 60 s since a controller began to send bodies "+
-				"above 64 KiB, %d of %d tasks done, the machine is up and empty", done, jobs*tasks)
-		} else if done < jobs*tasks {
-			fmt.Println("not all tasks done:", done)
+			w.Break("an accepted job must run", "no task has started for 60 s since a controller began to send bodies above "+
+				"64 KiB; %d of %d small tasks are done; the other job, which ran, is done: %v, runs: %v", count(done),
+				jobs*tasks, len(other.done) == 1, len(other.on) == 1)
 		}
 	})
+	if !stuck && !over {
+		return fmt.Errorf("not all tasks are done, and none is stuck")
+	}
 	return nil
 }
 
@@ -196,3 +206,73 @@
 	w.Until(30*time.Second, func() bool { return time.Since(j.Cancelled) > 38*time.Second })
 	return nil
 }
+
+// reserveCase: an array loses its machine, and room that is only kept free for later jobs is never given to it.
+func reserveCase(w *World) error {
+	for p := range w.Cloud.Capacity {
+		w.Cloud.Capacity[p] = 0
+	}
+	w.Cloud.Capacity[Pool{"stejar", "somes", true}] = 1
+	if err := w.ready(); err != nil {
+		return err
+	}
+	s := Spec("job-000001", 7, 2, 1.4)
+	s.Spot = true
+	array := w.AddJob(s, 8)
+	array.Stagger = 3 * time.Second
+	if !array.Submit() || !w.Until(20*time.Second, func() bool { return len(array.on) == 7 }) {
+		return fmt.Errorf("the array doesn't run")
+	}
+	w.Do(func() { w.Cloud.Capacity[Pool{"stejar", "somes", false}] = 1 })
+	// Jobs of the other class come 5.7 a minute.
+	var later []*Job
+	go func() {
+		for i := range 12 {
+			g := Gang(fmt.Sprintf("job-%06d", 100+i), 1, 15, 51)
+			j := w.AddJob(g, 3)
+			w.Do(func() { later = append(later, j) })
+			go j.Submit()
+			time.Sleep(10500 * time.Millisecond)
+		}
+	}()
+	if !w.Until(20*time.Second, func() bool { return len(array.done) >= 1 }) {
+		return fmt.Errorf("no task of the array is done")
+	}
+	if w.Trouble {
+		w.Do(func() {
+			m := array.machineOf(6)
+			w.Log("the cloud takes %s back without notice, and has no other one of its kind", m.Name)
+			w.Cloud.Remove(m.Name)
+			w.Cloud.Capacity[Pool{"stejar", "somes", true}] = 0
+		})
+	}
+	// The machine is lost for certain once the leader has taken its tasks out of the record.
+	var free time.Time
+	began := 0
+	w.Until(114*time.Second-time.Since(w.began), func() bool {
+		if free.IsZero() && w.Trouble && w.Store.holds("jobs/job-000001", "m-000001") {
+			return false
+		}
+		if free.IsZero() {
+			free = time.Now()
+			for _, j := range later {
+				began += min(j.Starts, 1)
+			}
+		}
+		return array.Final != ""
+	})
+	w.Do(func() {
+		ran := -began
+		for _, j := range later {
+			ran += min(j.Starts, 1)
+		}
+		w.Log("array: %d of 7 tasks done, %d starts; %d later jobs have started since, in %.0f s", len(array.done), array.Starts,
+			ran, time.Since(free).Seconds())
+		if array.Final == "" && array.Starts == 7 && time.Since(free) > 60*time.Second && ran >= 5 {
+			w.Break("an accepted job must run", "%d of its 7 tasks are done, the others haven't started for %.0f s, in which the "+
+				"machine was free most of the time and %d jobs that came later have started on it", len(array.done),
+				time.Since(free).Seconds(), ran)
+		}
+	})
+	return nil
+}
--- a/review/_standins-2/chaos.go
+++ b/review/_standins-2/chaos.go
@@ -19,6 +19,11 @@
 			{"name": "evaluare", "cpus": 0.0, "cpus_max": 40.0, "gpus": 0.0, "gpus_max": 0.0},
 			{"name": "other", "cpus": 8.0, "cpus_max": 24.0, "gpus": 0.0, "gpus_max": 6.0}}
 		big := os.Getenv("BIG") != ""
+		// CALM=1: few jobs, all of one priority, and time without troubles at the end in which all have to be done.
+		jobsEnd, troublesEnd, pause := 65*time.Second, 70*time.Second, 0
+		if os.Getenv("CALM") != "" {
+			jobsEnd, troublesEnd, pause = 35*time.Second, 45*time.Second, 1500
+		}
 		if big {
 			w.StateCfg["value_kb"] = 4.0
 		}
@@ -28,7 +33,7 @@
 		}
 		began := time.Now()
 		go func() {
-			for i := 0; time.Since(began) < 65*time.Second; i++ {
+			for i := 0; time.Since(began) < jobsEnd; i++ {
 				id := fmt.Sprintf("job-%06d", i)
 				s := Spec(id, 1+r.IntN(30), 1, 1.4)
 				if r.IntN(2) == 0 {
@@ -51,6 +56,10 @@
 					s.Zone = "mures"
 					s.Spread = false
 				}
+				if pause > 0 {
+					s.Priority = "normal"
+				}
+				w.Log("job %s: %s", id, toText(s))
 				j := w.AddJob(s, 2+r.Float64()*12)
 				go j.Submit()
 				if r.IntN(4) == 0 {
@@ -61,7 +70,7 @@
 						}
 					}()
 				}
-				time.Sleep(time.Duration(500+r.IntN(2500)) * time.Millisecond)
+				time.Sleep(time.Duration(500+pause+r.IntN(2500)) * time.Millisecond)
 			}
 		}()
 		node := func() *Node {
@@ -87,7 +96,7 @@
 			return time.Duration((lo + r.Float64()*(hi-lo)) * float64(time.Second))
 		}
 		busy := map[*Node]bool{}
-		for time.Since(began) < 70*time.Second {
+		for time.Since(began) < troublesEnd {
 			time.Sleep(secs(1, 7))
 			n := node()
 			taken := false
@@ -179,6 +188,9 @@
 			}
 		}
 		time.Sleep(22 * time.Second)
+		if pause > 0 {
+			time.Sleep(time.Until(w.began.Add(112 * time.Second)))
+		}
 		w.Do(func() {
 			over, all := 0, 0
 			for _, j := range w.Jobs {
@@ -190,6 +202,11 @@
 				}
 			}
 			fmt.Printf("%d of %d accepted jobs over\n", over, all)
+			for id, j := range w.Jobs {
+				if !j.Accepted.IsZero() && j.Final == "" && pause > 0 {
+					fmt.Println("not over:", id, "accepted at", j.Accepted.Sub(w.began), "starts", j.Starts, "done", len(j.done))
+				}
+			}
 		})
 		return nil
 	}
--- a/review/_standins-2/store.go
+++ b/review/_standins-2/store.go
@@ -139,6 +139,11 @@
 	return h.Node
 }
 
+// holds reports whether a stored record names a machine.
+func (s *Store) holds(key, machine string) bool {
+	return strings.Contains(string(s.entries[key].value), machine)
+}
+
 // Epoch returns the version of the leader's key.
 func (s *Store) Epoch() protocol.Epoch { return protocol.Epoch(s.entries["lead/controller"].version) }
 
