--- a/internal/admission/handler.go
+++ b/internal/admission/handler.go
@@ -45,7 +45,7 @@
 
 // submit handles the submission of a job.
 func (h *handler) submit(w http.ResponseWriter, r *http.Request) {
-	if body, ok := readBody(w, r); ok {
+	if body, ok := readBody(w, r, protocol.MaxBodyBytes); ok {
 		h.handle(w, Request{Kind: Submit, Body: body})
 	}
 }
@@ -101,7 +101,7 @@
 
 // heartbeat handles a heartbeat of a worker, and hijacks its connection if that may stay open.
 func (h *handler) heartbeat(w http.ResponseWriter, r *http.Request) {
-	body, ok := readBody(w, r)
+	body, ok := readBody(w, r, maxHeartbeatBytes)
 	if !ok {
 		return
 	}
@@ -133,18 +133,22 @@
 	return validName && heartbeat.Address != "" && heartbeat.Incarnation > 0
 }
 
+// maxHeartbeatBytes is the largest heartbeat that is read. A worker can't help it if its heartbeat grows as
+// all of its tasks exit at once, and without a response it would lose them.
+const maxHeartbeatBytes = 2 * protocol.MaxBodyBytes
+
 // readBody reads the body of a request. If the body is incomplete or over the limit, it stops reading and
 // rejects the request.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, bool) {
 	var body []byte
 	var err error
-	if announced := r.ContentLength; announced >= 0 && announced <= protocol.MaxBodyBytes {
+	if announced := r.ContentLength; announced >= 0 && announced <= limit {
 		body = make([]byte, announced)
 		_, err = io.ReadFull(r.Body, body)
 	} else {
-		body, err = io.ReadAll(io.LimitReader(r.Body, protocol.MaxBodyBytes+1))
+		body, err = io.ReadAll(io.LimitReader(r.Body, limit+1))
 	}
-	if err != nil || len(body) > protocol.MaxBodyBytes {
+	if err != nil || int64(len(body)) > limit {
 		reject(w, reasonUnreadableBody)
 		return nil, false
 	}
--- a/internal/admission/handler_test.go
+++ b/internal/admission/handler_test.go
@@ -42,6 +42,7 @@
 		{"POST", "/agent/beat", heartbeatBody("m\t1", 0), 400},
 		{"POST", "/agent/beat", []byte{0xdf, 0xff, 0xff, 0xff, 0xff}, 400},
 		{"POST", "/agent/beat", make([]byte, protocol.MaxBodyBytes+1), 400},
+		{"POST", "/agent/beat", make([]byte, maxHeartbeatBytes+1), 400},
 		{"GET", "/nowhere", nil, 404},
 	} {
 		w := httptest.NewRecorder()
--- a/internal/admission/workerconnection.go
+++ b/internal/admission/workerconnection.go
@@ -9,8 +9,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"postpoint/internal/protocol"
 )
 
 // Workers keep their connections open and send a heartbeat every few seconds; most requests to a leader
@@ -22,7 +20,7 @@
 
 const (
 	// maxRequestBytes is the largest request on a hijacked connection.
-	maxRequestBytes = protocol.MaxBodyBytes + maxHeaderBytes
+	maxRequestBytes = maxHeartbeatBytes + maxHeaderBytes
 	// readBufferBytes is the buffer that a connection holds between requests. A heartbeat with a few
 	// tasks fits into it.
 	readBufferBytes = 2 << 10
--- a/internal/leader/cancellations_test.go
+++ b/internal/leader/cancellations_test.go
@@ -54,6 +54,48 @@
 	}
 }
 
+// A job with more tasks on one machine than one message can stop is cancelled. The response to a heartbeat
+// carries as many stops as fit. Near the time by which all tasks must be gone, there is no response until
+// the rest fits into one: the worker would keep every task that the response doesn't stop.
+func TestLeaseIsNotRenewedIfStopsDontFit(t *testing.T) {
+	const tasks = 1100
+	l, mailbox := newLeader()
+	content := jobrecord.New(protocol.JobSpec{ID: "job-1", Shape: protocol.ShapeArray, Tasks: tasks}, 1)
+	var running []protocol.TaskStatus
+	for task := range tasks {
+		content.Placements[task] = jobrecord.Placement{Task: task, Attempt: 1, Machine: "m-1", Incarnation: 1}
+		running = append(running, protocol.TaskStatus{Task: protocol.TaskName("job-1", task), Attempt: 1,
+			Status: protocol.TaskRunning})
+	}
+	l.reader.Apply(jobrecord.Key("job-1"), content.Encode(), 5)
+	l.jobs.MarkCancelled(l.jobs.ByID["job-1"], mailbox.Now)
+	stopsAmong := func(counter int64, tasks []protocol.TaskStatus) (status, stops int) {
+		l.state.Term.RenewedAt, l.state.RecordsKnownUntil = mailbox.Now, mailbox.Now
+		l.Heartbeat(workerHeartbeat(1, counter, tasks...), func(s int, body any) {
+			status = s
+			if a, ok := body.(protocol.HeartbeatResponse); ok {
+				stops = len(a.Commands)
+				if size := protocol.JSONSize(protocol.Encode(a)); size > protocol.MaxBodyBytes {
+					t.Errorf("a response of %d bytes, want at most %d", size, protocol.MaxBodyBytes)
+				}
+			}
+		})
+		return status, stops
+	}
+	status, stops := stopsAmong(1, running)
+	if status != http.StatusOK || stops == 0 || stops >= tasks {
+		t.Fatalf("got %d with %d stops, want 200 with a part of the %d stops", status, stops, tasks)
+	}
+	mailbox.Now += l.state.Settings.Deployment.Workers.RenewalWindow() + 1
+	if status, _ := stopsAmong(2, running); status != http.StatusServiceUnavailable {
+		t.Fatalf("got %d while not all stops fit, want 503", status)
+	}
+	rest := running[stops:]
+	if status, n := stopsAmong(3, rest); status != http.StatusOK || n != len(rest) {
+		t.Fatalf("got %d with %d stops for the remaining %d tasks, want 200 with all of them", status, n, len(rest))
+	}
+}
+
 // The deadline of a cancellation counts from the time in the job's record, whichever controller leads,
 // even if the leader's process is younger than the cancellation. The clocks of the two controllers may
 // be off in either direction, so the leader subtracts both clock errors. If a new leader counted from
--- a/internal/leader/federation/recall.go
+++ b/internal/leader/federation/recall.go
@@ -72,7 +72,7 @@
 	for i := range o.snapshots.LastMachines {
 		m := &o.snapshots.LastMachines[i]
 		if !m.Booting && planner.MachineAllowed(&j.Spec, m.Type, m.Zone, m.Spot) {
-			slots += planner.TaskResources(&j.Spec).CopiesIn(m.Free)
+			slots += m.Copies(&j.Spec)
 		}
 	}
 	return slots
--- a/internal/leader/reconciler/commands.go
+++ b/internal/leader/reconciler/commands.go
@@ -135,7 +135,8 @@
 		m.PushPending = true
 		return
 	}
-	commands := cs.CommandsFor(m, ViaDirectCommand)
+	set := cs.commandSetFor(m, ViaDirectCommand)
+	commands := set.commands
 	if len(commands) == 0 && !(leads && cs.epochAnnouncementDue(m)) {
 		return
 	}
@@ -149,6 +150,7 @@
 	cs.Send(m, incarnation, commands, func(result CommandResult) {
 		recordStartOutcomes(m, commands, result.Outcome)
 	})
+	m.PushPending = set.truncated
 }
 
 // epochAnnouncementDue reports whether it is time to announce this term's epoch to a worker.
--- a/internal/leader/reconciler/commandset.go
+++ b/internal/leader/reconciler/commandset.go
@@ -30,18 +30,24 @@
 	ForgetDelay = 8 * clock.Second
 )
 
-// CommandsFor returns the commands that the worker needs now, given its last heartbeat. Commands may be
-// repeated, those for placed tasks after CommandRepeatDelay. Every response to a heartbeat carries the
-// stops of jobs that must not run, and only these responses let the worker forget exited tasks. Without
-// the leader's lease the only commands are stops of cancelled tasks.
+// CommandsFor returns the commands that the worker needs now, given its last heartbeat, as far as they
+// fit into one message. Commands may be repeated, those for placed tasks after CommandRepeatDelay. Every
+// response to a heartbeat carries the stops of jobs that must not run, and only these responses let the
+// worker forget exited tasks. Without the leader's lease the only commands are stops of cancelled tasks.
 func (cs *CommandSender) CommandsFor(m *machinetable.Machine, via Channel) []protocol.Command {
+	set := cs.commandSetFor(m, via)
+	return set.commands
+}
+
+// commandSetFor collects the commands that the worker needs now.
+func (cs *CommandSender) commandSetFor(m *machinetable.Machine, via Channel) commandSet {
+	set := commandSet{sender: cs, m: m, via: via, now: cs.Now(), commands: []protocol.Command{}}
 	if cs.upToDate(m) {
-		return []protocol.Command{}
+		return set
 	}
-	set := commandSet{sender: cs, m: m, via: via, now: cs.Now(), commands: []protocol.Command{}}
 	set.addCancellations()
 	if !cs.Leads() || !cs.machines.EpochAcknowledged(m) {
-		return set.commands // the worker has to acknowledge the new epoch first
+		return set // the worker has to acknowledge the new epoch first
 	}
 	for id, tasks := range ordered.ByKey(m.Placements) {
 		j := cs.jobs.ByID[id]
@@ -55,21 +61,38 @@
 		}
 	}
 	set.addForUnassigned()
-	return set.commands
+	return set
 }
 
-// commandSet collects the commands for one worker.
+// commandSet collects the commands for one worker, up to the size limit of a message. The worker would
+// drop a larger message as a whole, and its lease would not be renewed. Commands that don't fit stay
+// due: they go out with the next message.
 type commandSet struct {
 	sender   *CommandSender
 	m        *machinetable.Machine
 	via      Channel
 	now      clock.Micros
 	commands []protocol.Command
+	// listBytes is the size of commands as JSON.
+	listBytes int
+	// truncated reports that some commands that are due didn't fit.
+	truncated bool
 }
 
-// add adds a command without a grace period.
-func (set *commandSet) add(verb string, ref machinetable.AttemptRef) {
-	set.commands = append(set.commands, commandFor(verb, ref))
+// add adds commands if all of them fit, and reports whether they do. It changes nothing else, so that the
+// caller records as sent only what is.
+func (set *commandSet) add(commands ...protocol.Command) bool {
+	size := set.listBytes
+	for i := range commands {
+		size += commands[i].JSONBytes()
+	}
+	if size > protocol.MaxCommandListBytes {
+		set.truncated = true
+		return false
+	}
+	set.listBytes = size
+	set.commands = append(set.commands, commands...)
+	return true
 }
 
 // repeatDue reports whether a command that was last sent at the given time, 0 for never, is to be sent
@@ -95,14 +118,24 @@
 	// If the task is to be stopped, also because its job is done, a start that may still arrive is sent
 	// again before the stop: a late copy then has no effect.
 	startNeeded := !isListed && (stop == nil || d.MayArrive())
-	if startNeeded && set.repeatDue(d.StartSentAt) && j.StartPermitted(stop, set.now) {
-		set.add(protocol.VerbStart, ref)
-		d.RecordStart(set.via == ViaHeartbeat, j.Spec.IsService(), set.now)
+	startDue := startNeeded && set.repeatDue(d.StartSentAt) && j.StartPermitted(stop, set.now)
+	stopDue := stop != nil && (isListed || d.MayArrive()) && set.repeatDue(d.StopSentAt)
+	var due []protocol.Command
+	if startDue {
+		due = append(due, commandFor(protocol.VerbStart, ref))
 	}
-	if stop != nil && (isListed || d.MayArrive()) && set.repeatDue(d.StopSentAt) {
+	if stopDue {
 		command := commandFor(protocol.VerbStop, ref)
 		command.GraceS = stop.GraceS
-		set.commands = append(set.commands, command)
+		due = append(due, command)
+	}
+	if !set.add(due...) {
+		return // a start without its stop would run the task
+	}
+	if startDue {
+		d.RecordStart(set.via == ViaHeartbeat, j.Spec.IsService(), set.now)
+	}
+	if stopDue {
 		d.StopSentAt = set.now
 	}
 }
@@ -114,16 +147,18 @@
 func (set *commandSet) addCancellations() {
 	for _, ref := range set.sender.tasksThatMustNotRun(set.m) {
 		d := set.m.Delivery(ref)
-		if set.via == ViaHeartbeat || set.repeatDue(d.StopSentAt) {
-			set.add(protocol.VerbStop, ref)
+		if set.via != ViaHeartbeat && !set.repeatDue(d.StopSentAt) {
+			continue
+		}
+		if set.add(commandFor(protocol.VerbStop, ref)) {
 			d.StopSentAt = set.now
 		}
 	}
 }
 
 // tasksThatMustNotRun returns the tasks on a machine that haven't exited and that belong to jobs that
-// must not run, in a fixed order. Without the leader's lease it returns only the tasks that must end
-// within a time limit.
+// must not run, in a fixed order: first those without whose stops the lease must not be renewed. Without
+// the leader's lease it returns only the tasks that must end within a time limit.
 func (cs *CommandSender) tasksThatMustNotRun(m *machinetable.Machine) []machinetable.AttemptRef {
 	leads := cs.Leads()
 	var remaining []machinetable.AttemptRef
@@ -134,7 +169,12 @@
 		}
 	}
 	slices.SortFunc(remaining, machinetable.CompareAttempts)
-	return remaining
+	required := func(ref machinetable.AttemptRef) bool {
+		return cs.renewalRequiresStop(cs.jobs.ByID[ref.Job])
+	}
+	rest := slices.DeleteFunc(slices.Clone(remaining), required)
+	remaining = slices.DeleteFunc(remaining, func(ref machinetable.AttemptRef) bool { return !required(ref) })
+	return append(remaining, rest...)
 }
 
 // commandFor returns a command without a grace period.
@@ -154,7 +194,7 @@
 		t := m.Tasks[ref]
 		if t.Status != protocol.TaskExited {
 			// No record places the task on this machine, so no job needs it.
-			set.add(protocol.VerbStop, ref)
+			set.add(commandFor(protocol.VerbStop, ref))
 			continue
 		}
 		m.ExitedTasks++
@@ -170,7 +210,9 @@
 	}
 	if len(set.commands) > 0 || len(forgets) >= ForgetBatch || set.now >= m.ForgetAt {
 		m.ForgetAt = set.now + ForgetDelay
-		set.commands = append(set.commands, forgets...)
+		for _, forget := range forgets {
+			set.add(forget)
+		}
 	}
 }
 
--- a/internal/leader/snapshots/machines.go
+++ b/internal/leader/snapshots/machines.go
@@ -77,6 +77,7 @@
 	pulling := m.View.PullingImages
 	m.View = emptyView(m, machineType)
 	b.addPlacements(m, pulling)
+	m.View.StatusBytes += unplacedStatusBytes(m)
 	m.Unrecognized = runsUnrecognizedTask(m)
 }
 
@@ -107,6 +108,7 @@
 	for id, tasks := range ordered.ByKey(m.Placements) {
 		spec := &b.jobs.ByID[id].Spec
 		m.View.Free = m.View.Free.Minus(planner.TaskResources(spec).Times(float64(len(tasks))))
+		m.View.StatusBytes += spec.StatusBytes() * len(tasks)
 		if spec.IsService() {
 			m.View.Replicas += len(tasks)
 		}
@@ -118,6 +120,18 @@
 	}
 }
 
+// unplacedStatusBytes returns how much of the worker's heartbeat the tasks take that are listed but not
+// placed on the machine, most of which have exited.
+func unplacedStatusBytes(m *machinetable.Machine) int {
+	size := 0
+	for ref, task := range m.Tasks {
+		if !m.Placed(ref) {
+			size += task.ListedBytes()
+		}
+	}
+	return size
+}
+
 // runsUnrecognizedTask reports whether a machine runs a task that isn't placed there, whose resource
 // needs are therefore unknown.
 func runsUnrecognizedTask(m *machinetable.Machine) bool {
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -84,7 +84,7 @@
 // team's quota.
 func (p *planning) assign(job *Job, task int, machine *Machine, team *Team) {
 	request := TaskResources(job.Spec)
-	machine.Free = machine.Free.Minus(request)
+	machine.take(job.Spec)
 	if team != nil {
 		team.Used = team.Used.Plus(request)
 	}
--- a/internal/planner/constraints.go
+++ b/internal/planner/constraints.go
@@ -44,10 +44,9 @@
 // its other tasks are.
 func (p *planning) candidates(job *Job, ready readiness) []*Machine {
 	var machines []*Machine
-	request := TaskResources(job.Spec)
 	for i := range p.machines {
 		machine := &p.machines[i]
-		if request.FitsIn(machine.Free) && !(machine.Booting && ready == readyNow) && job.accepts(machine) {
+		if machine.fits(job.Spec) && !(machine.Booting && ready == readyNow) && job.accepts(machine) {
 			machines = append(machines, machine)
 		}
 	}
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -10,7 +10,7 @@
 	candidates := p.candidates(job, ready)
 	capacity := 0
 	for _, machine := range candidates {
-		capacity += TaskResources(job.Spec).CopiesIn(machine.Free)
+		capacity += machine.Copies(job.Spec)
 	}
 	if capacity < n {
 		return nil
@@ -45,7 +45,6 @@
 func (p *planning) fitUpTo(job *Job, n int, candidates []*Machine) (machines []*Machine, cost float64) {
 	available := newMachineHeap(job, candidates)
 	zones := job.TasksByZone()
-	request := TaskResources(job.Spec)
 	var freeBefore []Resources
 	for len(machines) < n {
 		machine := available.cheapest(zones)
@@ -54,7 +53,7 @@
 		}
 		cost += available.cheapestCost()
 		freeBefore = append(freeBefore, machine.Free)
-		machine.Free = machine.Free.Minus(request)
+		machine.take(job.Spec)
 		zones[machine.Zone]++
 		machines = append(machines, machine)
 		available.updateCheapest()
@@ -62,6 +61,7 @@
 	// Restore in reverse order, since a machine may hold several tasks. Adding the requests back
 	// would not restore the exact bits.
 	for i, machine := range slices.Backward(machines) {
+		machine.release(job.Spec)
 		machine.Free = freeBefore[i]
 	}
 	return machines, cost
@@ -98,7 +98,7 @@
 // rest of the plan.
 func (p *planning) reserveOnMachines(job *Job, machines []*Machine) {
 	for _, machine := range machines {
-		machine.Free = machine.Free.Minus(TaskResources(job.Spec))
+		machine.take(job.Spec)
 	}
 }
 
@@ -114,7 +114,7 @@
 	for _, group := range p.zoneGroups(job, usable) {
 		capacity := 0
 		for _, machine := range group {
-			capacity += TaskResources(job.Spec).CopiesIn(machine.Capacity)
+			capacity += CopiesInEmpty(job.Spec, machine.Capacity)
 		}
 		if capacity >= n {
 			return true
--- a/internal/planner/machine.go
+++ b/internal/planner/machine.go
@@ -19,6 +19,8 @@
 	Capacity Resources
 	// Free is the capacity that no task holds.
 	Free Resources
+	// StatusBytes is how much of its worker's heartbeat the statuses of the tasks on the machine take.
+	StatusBytes int
 	// HourlyPrice is the price of the machine for an hour.
 	HourlyPrice float64
 	// FetchSPerGB is how many seconds it takes to fetch a gigabyte of an image.
@@ -46,6 +48,37 @@
 	Slowdown float64
 }
 
+// fits reports whether the machine has free capacity for one more task of a job, and its worker's
+// heartbeat has room for the task's status.
+func (m *Machine) fits(s *protocol.JobSpec) bool {
+	return TaskResources(s).FitsIn(m.Free) && m.StatusBytes+s.StatusBytes() <= protocol.MaxStatusListBytes
+}
+
+// Copies returns how many more tasks of a job fit on the machine.
+func (m *Machine) Copies(s *protocol.JobSpec) int {
+	return min(TaskResources(s).CopiesIn(m.Free), statusesIn(protocol.MaxStatusListBytes-m.StatusBytes, s))
+}
+
+// CopiesInEmpty returns how many tasks of a job fit on an empty machine of the given capacity.
+func CopiesInEmpty(s *protocol.JobSpec, capacity Resources) int {
+	return min(TaskResources(s).CopiesIn(capacity), statusesIn(protocol.MaxStatusListBytes, s))
+}
+
+// statusesIn returns how many statuses of tasks of a job fit into a part of a heartbeat.
+func statusesIn(listBytes int, s *protocol.JobSpec) int { return max(0, listBytes) / s.StatusBytes() }
+
+// take subtracts one task of a job from what is free on the machine.
+func (m *Machine) take(s *protocol.JobSpec) {
+	m.Free = m.Free.Minus(TaskResources(s))
+	m.StatusBytes += s.StatusBytes()
+}
+
+// release undoes take, except for rounding.
+func (m *Machine) release(s *protocol.JobSpec) {
+	m.Free = m.Free.Plus(TaskResources(s))
+	m.StatusBytes -= s.StatusBytes()
+}
+
 // ImageWaitS returns how many seconds a task of the job would wait for its image.
 func (m *Machine) ImageWaitS(s *protocol.JobSpec) float64 {
 	switch {
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -73,7 +73,7 @@
 func (p *planning) release(victims []victim) {
 	for _, v := range victims {
 		if machine := p.byName[v.run.Machine]; machine != nil {
-			machine.Free = machine.Free.Plus(TaskResources(v.job.Spec))
+			machine.release(v.job.Spec)
 		}
 	}
 }
@@ -82,7 +82,7 @@
 func (p *planning) undoRelease(victims []victim) {
 	for _, v := range victims {
 		if machine := p.byName[v.run.Machine]; machine != nil {
-			machine.Free = machine.Free.Minus(TaskResources(v.job.Spec))
+			machine.take(v.job.Spec)
 		}
 	}
 }
--- a/internal/scaling/cloudview.go
+++ b/internal/scaling/cloudview.go
@@ -67,7 +67,7 @@
 	if !planner.MachineAllowed(spec, pool.Type, pool.Zone, pool.Spot) {
 		return 0
 	}
-	return planner.TaskResources(spec).CopiesIn(Capacity(view.Types[pool.Type]))
+	return planner.CopiesInEmpty(spec, Capacity(view.Types[pool.Type]))
 }
 
 // usablePools yields the pools that a job may use, regardless of where its other tasks are, and how
--- a/internal/scaling/scaleout.go
+++ b/internal/scaling/scaleout.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"postpoint/internal/planner"
+	"postpoint/internal/protocol"
 )
 
 // maxMachinesPerDecision bounds the work of one decision. It is a quarter of the largest supported
@@ -42,6 +43,8 @@
 type newMachine struct {
 	pool CapacityPool
 	free planner.Resources
+	// statusBytes is how much of its worker's heartbeat the tasks that it will hold take.
+	statusBytes int
 }
 
 // newScaleOut returns the initial state of a ScaleOut call. It copies the unmet demand, which the
@@ -68,6 +71,7 @@
 		}
 		chosen := s.machines[at]
 		chosen.free = chosen.free.Minus(request)
+		chosen.statusBytes += demand.Job.Spec.StatusBytes()
 		zones[chosen.pool.Zone]++
 		demand.Tasks--
 		s.urgent.taskPlaced()
@@ -78,6 +82,7 @@
 // takes reports whether one more task of a job may go to the machine.
 func (n *newMachine) takes(job *planner.Job, request planner.Resources, zones map[string]int) bool {
 	return request.FitsIn(n.free) &&
+		n.statusBytes+job.Spec.StatusBytes() <= protocol.MaxStatusListBytes &&
 		planner.MachineAllowed(job.Spec, n.pool.Type, n.pool.Zone, n.pool.Spot) &&
 		planner.ZoneAllowed(job.Spec, zones, n.pool.Zone)
 }
--- a/internal/scaling/scaleout_test.go
+++ b/internal/scaling/scaleout_test.go
@@ -30,9 +30,10 @@
 					break
 				}
 				at, machines = len(machines), append(machines,
-					newMachine{pool, Capacity(view.Types[pool.Type])})
+					newMachine{pool: pool, free: Capacity(view.Types[pool.Type])})
 			}
 			machines[at].free = machines[at].free.Minus(request)
+			machines[at].statusBytes += demand.Job.Spec.StatusBytes()
 			zones[machines[at].pool.Zone]++
 			demand.Tasks--
 		}
--- a/internal/simulation/commands.go
+++ b/internal/simulation/commands.go
@@ -14,6 +14,9 @@
 
 // command executes direct commands. It rejects those of outdated epochs and for other incarnations.
 func (m *FakeWorker) command(c protocol.CommandRequest) (int, protocol.Heartbeat) {
+	if !m.d.checkSize("a leader", c, len(c.Commands)) {
+		return http.StatusBadRequest, protocol.Heartbeat{}
+	}
 	if c.Epoch < m.epoch || c.Incarnation != m.incarnation {
 		return http.StatusConflict, m.newHeartbeat()
 	}
--- a/internal/simulation/days.go
+++ b/internal/simulation/days.go
@@ -47,6 +47,13 @@
 	// Two more faults begin within faultGap after each fault, because overlapping faults are the most
 	// likely to break a rule.
 	faultGap = 4 * clock.Second
+	// smallTaskChance is the chance that users submit smallTaskJobs arrays of very small tasks within
+	// smallTaskGap of each other. All of them fit on one machine.
+	smallTaskChance = 0.15
+	smallTaskJobs   = 6
+	smallTaskGap    = 20 * clock.Second
+	// smallTaskNumber is the number of the first of these jobs.
+	smallTaskNumber = 500
 )
 
 // simulateDay simulates a day of random faults and then gives all jobs time to end.
@@ -56,6 +63,9 @@
 	for i := range jobsPerDay {
 		w.After(w.Between(0, dayLength), func() { l.submit(d, i) })
 	}
+	if w.chance(smallTaskChance) {
+		l.submitSmallTasks(d)
+	}
 	for range faultsPerDay {
 		w.After(w.Between(5*clock.Second, dayLength), func() {
 			injectFault(d)
@@ -90,6 +100,22 @@
 	}
 }
 
+// submitSmallTasks makes users submit so many small tasks that the commands for one machine may not fit into
+// one message. Users cancel some of the jobs later.
+func (l workload) submitSmallTasks(d *Deployment) {
+	w := d.World
+	begin := w.Between(0, dayLength)
+	for i := range smallTaskJobs {
+		w.After(begin+w.Between(0, smallTaskGap), func() {
+			run := w.Between(10*clock.Second, l.maxRunTime)
+			j := d.Submit(l.withOwnClass(smallTaskSpec(w, smallTaskNumber+i)), run, false)
+			if w.chance(0.3) {
+				w.After(w.Between(0, 60*clock.Second), func() { d.Cancel(j) })
+			}
+		})
+	}
+}
+
 // submitService submits a random service. Users cancel some services later, among them all whose replicas
 // fail.
 func (l workload) submitService(d *Deployment, number int) {
--- a/internal/simulation/heartbeats.go
+++ b/internal/simulation/heartbeats.go
@@ -76,6 +76,7 @@
 		fallback: (m.controller + 1) % len(m.d.Nodes),
 	}
 	heartbeat := m.newHeartbeat()
+	m.checkListSize(heartbeat)
 	w.After(heartbeatTimeout, func() { e.finish(e.fallback, retryDelay) })
 	m.send(func() { m.d.deliver(m.zone, e.n.Zone, func() { e.arrive(heartbeat) }) })
 	if w.chance(m.LateCopyChance) {
@@ -83,6 +84,24 @@
 	}
 }
 
+// checkListSize checks that the tasks on the machine that haven't exited fit into a heartbeat.
+func (m *FakeWorker) checkListSize(heartbeat protocol.Heartbeat) {
+	var remaining []taskListing
+	for _, t := range heartbeat.Tasks {
+		if t.Status != protocol.TaskExited {
+			remaining = append(remaining, taskListing{t.Task, t.Attempt, t.Status})
+		}
+	}
+	m.d.checkSize(string(m.name), remaining, len(remaining))
+}
+
+// taskListing is the status of a task that hasn't exited, as a worker lists it.
+type taskListing struct {
+	Task    string           `msgpack:"Leg"`
+	Attempt protocol.Attempt `msgpack:"Try"`
+	Status  string           `msgpack:"Status"`
+}
+
 // send carries a message from the machine. A cut link either loses it or holds it until Heal.
 func (m *FakeWorker) send(arrive func()) {
 	switch {
@@ -179,8 +198,12 @@
 		e.finish(e.nextNode(body), retryDelay)
 		return
 	}
-	e.finish(sameController, 0)
 	a := body.(protocol.HeartbeatResponse)
+	if !m.d.checkSize(e.n.Name, a, len(a.Commands)) {
+		e.finish(e.fallback, retryDelay)
+		return
+	}
+	e.finish(sameController, 0)
 	if e.incarnation != m.incarnation || a.Epoch < m.epoch {
 		return
 	}
--- a/internal/simulation/rules.go
+++ b/internal/simulation/rules.go
@@ -49,6 +49,9 @@
 	unreadableFormat rule = "old_format"
 	// incompleteGang: only some tasks of a gang are placed for long.
 	incompleteGang rule = "gang_in_pieces"
+	// messageTooLarge: a controller sends a worker more than the protocol allows in one message, or places
+	// more tasks on its machine than one heartbeat can list.
+	messageTooLarge rule = "too_large"
 	// badOverview: an overview can't be encoded.
 	badOverview rule = "overview"
 	// badRecord: a record can't be decoded.
@@ -162,6 +165,22 @@
 	}
 }
 
+// minCheckedEntries is the number of entries from which a message may be too large.
+const minCheckedEntries = 400
+
+// checkSize reports whether a message between a controller and a worker is within the protocol's limit, and
+// records a violation if it isn't. entries is the number of commands or tasks that it lists.
+func (d *Deployment) checkSize(sender string, message any, entries int) bool {
+	if entries < minCheckedEntries {
+		return true
+	}
+	size := protocol.JSONSize(protocol.Encode(message))
+	if size > protocol.MaxBodyBytes {
+		d.World.ReportViolation(messageTooLarge, "%s sends %d entries in %d bytes", sender, entries, size)
+	}
+	return size <= protocol.MaxBodyBytes
+}
+
 // mayStopWithoutLease reports whether a command stops a task of a final job or of a hosted job. A hosted job
 // may have to end before its record is final, because the origin cell no longer permits it.
 func (d *Deployment) mayStopWithoutLease(c protocol.Command) bool {
--- a/internal/simulation/workload.go
+++ b/internal/simulation/workload.go
@@ -86,6 +86,13 @@
 	s.OneZone, s.Spread, s.Zone = false, false, ""
 }
 
+// smallTaskSpec draws an array of very many small tasks.
+func smallTaskSpec(w *World, n int) protocol.JobSpec {
+	s := arraySpec(protocol.JobID(fmt.Sprintf("job-%06d", n)), "open", 150+w.Rand.IntN(100), 0.005, 20)
+	s.MemoryGB, s.Image, s.ImageGB, s.Spot = 0.005, "img-0", 1, true
+	return s
+}
+
 // randomService draws a service. Most services have replicas that run until a controller stops them; the
 // replicas of the others exit after about the returned run time.
 func randomService(w *World, n int) (s protocol.JobSpec, run clock.Micros) {
