--- a/internal/leader/jobtable/job.go
+++ b/internal/leader/jobtable/job.go
@@ -33,6 +33,8 @@
 	DelegatedTasks int
 	// BrokenAttempt is the latest attempt of a gang that can no longer be completed.
 	BrokenAttempt protocol.Attempt
+	// IncompleteAttempt is the latest attempt of a gang in which a task gave up waiting for its peers.
+	IncompleteAttempt protocol.Attempt
 	// StartFailures counts the failed starts that delayed the job since one of its tasks last ran.
 	StartFailures int
 	// NotBefore delays the next start of a job that failed to start.
--- a/internal/leader/lifecycle.go
+++ b/internal/leader/lifecycle.go
@@ -99,6 +99,7 @@
 	l.health.ExpireLeases()
 	l.health.DrainReclaimed()
 	l.health.ReleaseSilentWithReplicas()
+	l.health.EndOverdueFetches()
 	l.health.AnnounceEpoch()
 	if l.zones.Advance() {
 		l.overview.LogRecovery()
--- a/internal/leader/machinetable/machinetable.go
+++ b/internal/leader/machinetable/machinetable.go
@@ -188,6 +188,16 @@
 	m.addCachedImage(name, sizeGB, mt.catalogue.ByName[m.Type].CacheGB)
 }
 
+// FetchTime returns how long a machine usually takes to fetch an image of the given size, 0 if its type is
+// unknown.
+func (mt *Table) FetchTime(m *Machine, sizeGB float64) clock.Micros {
+	rate := mt.catalogue.ByName[m.Type].FetchGBPerS
+	if rate <= 0 {
+		return 0
+	}
+	return clock.FromSeconds(sizeGB / rate)
+}
+
 // HeartbeatCount counts the machines that should send heartbeats, and those that do so on time.
 type HeartbeatCount struct{ OnTime, Expected int }
 
--- a/internal/leader/reconciler/commands.go
+++ b/internal/leader/reconciler/commands.go
@@ -181,7 +181,7 @@
 	if s, ok := j.Stops[p.Task]; ok {
 		return &s
 	}
-	if j.Spec.IsGang() && len(j.Placements) < j.Spec.Tasks && !cs.Completable(j) {
+	if j.Spec.IsGang() && len(j.Placements) < j.Spec.Tasks && !cs.Completable(j) && !cs.completesFetch(j, p) {
 		// Some of the gang's tasks are gone: the next attempt needs the capacity of all tasks.
 		return &jobtable.StopRequest{Reason: "gang broken"}
 	}
--- a/internal/leader/reconciler/commandset.go
+++ b/internal/leader/reconciler/commandset.go
@@ -118,7 +118,8 @@
 	// If the task is to be stopped, also because its job is done, a start that may still arrive is sent
 	// again before the stop: a late copy then has no effect.
 	startNeeded := !isListed && (stop == nil || d.MayArrive())
-	startDue := startNeeded && set.repeatDue(d.StartSentAt) && j.StartPermitted(stop, set.now)
+	startDue := startNeeded && set.repeatDue(d.StartSentAt) && j.StartPermitted(stop, set.now) &&
+		(d.StartSentAt != 0 || !set.sender.awaitsPeerFetch(j, m))
 	stopDue := stop != nil && (isListed || d.MayArrive()) && set.repeatDue(d.StopSentAt)
 	var due []protocol.Command
 	if startDue {
--- a/internal/leader/reconciler/exits.go
+++ b/internal/leader/reconciler/exits.go
@@ -82,6 +82,9 @@
 	if effect.breaksAttempt {
 		j.BrokenAttempt = max(j.BrokenAttempt, p.Attempt)
 	}
+	if cause == protocol.CauseGangIncomplete {
+		j.IncompleteAttempt = max(j.IncompleteAttempt, p.Attempt)
+	}
 	if cause == protocol.CauseDone {
 		j.StartFailures, j.Cause = 0, ""
 		rc.objectives.RecordRun(m, &j.Spec, runTime)
--- a/internal/leader/reconciler/health.go
+++ b/internal/leader/reconciler/health.go
@@ -20,6 +20,8 @@
 	jobs     *jobtable.Table
 	machines *machinetable.Table
 	commands *CommandSender
+	// fetchesCheckedAt is when EndOverdueFetches last checked the machines.
+	fetchesCheckedAt clock.Micros
 }
 
 // NewHealthMonitor returns a monitor of the given machines.
--- a/internal/leader/reconciler/reconciler.go
+++ b/internal/leader/reconciler/reconciler.go
@@ -209,7 +209,11 @@
 	if status == protocol.TaskFetching || m.RunningSince[ref] != 0 {
 		return
 	}
+	wasCached := m.HasImage(j.Spec.Image)
 	rc.machines.AddCachedImage(m, j.Spec.Image, j.Spec.ImageGB)
+	if !wasCached {
+		rc.commands.pushPeers(j, m)
+	}
 	if status != protocol.TaskRunning {
 		return
 	}
--- a/internal/simulation/days.go
+++ b/internal/simulation/days.go
@@ -1,6 +1,8 @@
 package simulation
 
 import (
+	"fmt"
+
 	"postpoint/internal/clock"
 	"postpoint/internal/protocol"
 	"postpoint/internal/settings"
@@ -30,6 +32,8 @@
 	// takes the tasks of an arbitrary job of each class as typical. With several jobs in a class, the
 	// same seed would therefore not always give the same simulation.
 	ownClasses bool
+	// slowImages makes some gangs need images that machines take long to fetch.
+	slowImages bool
 }
 
 // withOwnClass gives a job a class of its own if the workload requires it.
@@ -54,6 +58,15 @@
 	smallTaskGap    = 20 * clock.Second
 	// smallTaskNumber is the number of the first of these jobs.
 	smallTaskNumber = 500
+	// On a day with the chance slowImageDayChance, a gang has an image that takes long to fetch with the
+	// chance slowImageChance.
+	slowImageDayChance = 0.4
+	slowImageChance    = 0.6
+	// slowFetchGBPerS is the rate at which machines fetch images on such a day; the images have between
+	// minSlowImageGB and maxSlowImageGB.
+	slowFetchGBPerS = 0.3
+	minSlowImageGB  = 3
+	maxSlowImageGB  = 18
 )
 
 // simulateDay simulates a day of random faults and then gives all jobs time to end.
@@ -63,6 +76,11 @@
 	for i := range jobsPerDay {
 		w.After(w.Between(0, dayLength), func() { l.submit(d, i) })
 	}
+	if l.slowImages = w.chance(slowImageDayChance); l.slowImages {
+		for i := range d.Cloud.Types {
+			d.Cloud.Types[i].FetchGBPerS = slowFetchGBPerS
+		}
+	}
 	if w.chance(smallTaskChance) {
 		l.submitSmallTasks(d)
 	}
@@ -94,7 +112,16 @@
 	if w.chance(0.2) {
 		run = w.Between(40*clock.Second, l.maxRunTime)
 	}
-	j := d.Submit(l.withOwnClass(l.spec(w, number)), run, w.chance(0.05))
+	spec := l.withOwnClass(l.spec(w, number))
+	slow := l.slowImages && spec.IsGang() && w.chance(slowImageChance)
+	if slow {
+		spec.ImageGB = float64(minSlowImageGB + w.Rand.IntN(maxSlowImageGB-minSlowImageGB+1))
+		spec.Image = fmt.Sprintf("slow-%.0f", spec.ImageGB)
+	}
+	j := d.Submit(spec, run, w.chance(0.05))
+	if slow {
+		j.fetchTime = clock.FromSeconds(spec.ImageGB / slowFetchGBPerS)
+	}
 	if w.chance(0.25) || j.failing {
 		w.After(w.Between(0, 40*clock.Second), func() { d.Cancel(j) })
 	}
--- a/internal/simulation/jobs.go
+++ b/internal/simulation/jobs.go
@@ -13,6 +13,9 @@
 	runTime clock.Micros // about how long a task runs; 0 for replicas that run until a controller stops them
 	// failing is set if all its tasks fail.
 	failing bool
+	// fetchTime is about how long a machine fetches its image, 0 for a short time of each task. See
+	// imagePulls.
+	fetchTime clock.Micros
 
 	submittedAt    clock.Micros
 	acceptedAt     clock.Micros
--- a/internal/simulation/tasks.go
+++ b/internal/simulation/tasks.go
@@ -38,6 +38,7 @@
 		m.markGone(t)
 	}
 	m.tasks = nil
+	m.abandonFetches()
 	m.d.scheduleGangCheck()
 }
 
@@ -107,7 +108,7 @@
 	}
 	t.status = protocol.TaskFetching
 	incarnation := m.incarnation
-	m.d.World.After(m.d.World.Between(0, maxFetchTime), func() {
+	m.d.World.After(m.fetch(m.d.findJob(k.job)), func() {
 		m.runOrDefer(func() {
 			if m.incarnation == incarnation && t.status == protocol.TaskFetching &&
 				m.findTask(k, attempt) == t {
@@ -220,6 +221,7 @@
 		j.complete(t.task, m.d.CancelAtEndChance)
 	}
 	m.markGone(t)
+	m.abandonFetches()
 	m.scheduleHeartbeat()
 }
 
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -63,6 +63,8 @@
 	LateCopyChance float64
 	// forgotten holds the attempts that this incarnation has forgotten and that must not start again.
 	forgotten map[attemptKey]bool
+	// images are the images that the machine has or fetches, of the jobs that have a fetchTime.
+	images imagePulls
 	// Faulty is set while the machine fails every task.
 	Faulty bool
 }
@@ -75,6 +77,7 @@
 		Link:           Link{w: d.World, LossChance: d.LossChance},
 		Commands:       Link{w: d.World, LossChance: d.LossChance},
 		LateCopyChance: 2 * d.LossChance, forgotten: map[attemptKey]bool{},
+		images: imagePulls{},
 	}
 	d.byAddr[m.addr] = m
 	if d.World.chance(bootFailureChance) && !d.Cloud.Reliable {
