--- a/internal/leader/jobtable/job.go
+++ b/internal/leader/jobtable/job.go
@@ -56,6 +56,9 @@
 	// MovedOffSurplus reports that the job was moved once so that its surplus machine could be
 	// scaled in.
 	MovedOffSurplus bool
+	// WaitingSince is since when the job has had pending tasks of which none was placed. It is meaningful
+	// only while tasks are pending.
+	WaitingSince clock.Micros
 	// UnmetAt is the time of the last plan that had unmet demand of the job, UnmetSince the time
 	// since which all plans have had it, and UnmetTasks the number of tasks.
 	UnmetSince, UnmetAt clock.Micros
@@ -80,9 +83,10 @@
 	Reason string
 }
 
-// NewJob returns a job without a record.
-func NewJob() *Job {
+// NewJob returns a job without a record, which is known from now on.
+func NewJob(now clock.Micros) *Job {
 	return &Job{
+		WaitingSince:  now,
 		AvoidMachines: map[protocol.MachineName]bool{},
 		Stops:         map[int]StopRequest{},
 		ProposedAt:    map[int]int{},
@@ -109,6 +113,15 @@
 	return j.Permission == nil || j.Permission.MayStart(now) || stop != nil && j.Permission.MayKeep(now)
 }
 
+// WaitTime returns for how long the job has had pending tasks of which none was placed, as far as this leader
+// knows.
+func (j *Job) WaitTime(now clock.Micros) clock.Micros {
+	if j.PendingCount() <= 0 {
+		return 0
+	}
+	return now - j.WaitingSince
+}
+
 // HasUnmetDemand reports whether a recent plan had unmet demand of the job.
 func (j *Job) HasUnmetDemand(now clock.Micros) bool {
 	return j.UnmetAt != 0 && now <= j.UnmetAt+unmetDemandGap
--- a/internal/leader/jobtable/jobtable.go
+++ b/internal/leader/jobtable/jobtable.go
@@ -90,6 +90,7 @@
 // it is committed.
 func (t *Table) AddPlacement(j *Job, p jobrecord.Placement) {
 	j.Placements[p.Task] = p
+	j.WaitingSince = t.Now()
 	t.machines.AddPlacement(j.Spec.ID, p)
 	t.MarkTaskChanged(j, p.Task)
 	v := j.valueOf(p.Task)
@@ -100,6 +101,9 @@
 // ReleasePlacement releases a placement. The caller must have proof that the task can no longer run
 // there: see docs/rules.md.
 func (t *Table) ReleasePlacement(j *Job, p jobrecord.Placement) {
+	if j.PendingCount() == 0 {
+		j.WaitingSince = t.Now()
+	}
 	delete(j.Placements, p.Task)
 	delete(j.Stops, p.Task)
 	delete(j.ProposedAt, p.Task)
--- a/internal/leader/objectives/urgency.go
+++ b/internal/leader/objectives/urgency.go
@@ -8,9 +8,12 @@
 const (
 	// defaultSlackS is the slack beyond the estimate of jobs that have no objective for their end.
 	defaultSlackS = 120
-	// startOverdueS is the age, including the fetch of its image, at which a job that hasn't
-	// started gets the highest tier. It leaves enough time to start within startWithinS.
+	// startOverdueS is the time, including the fetch of its image, after which a job of which nothing
+	// runs gets the highest tier. It leaves enough time to start within startWithinS.
 	startOverdueS = 150
+	// starvingS is the time for which a job may wait beside capacity that is only reserved. It is half of
+	// the time that users allow a job to wait beside free capacity.
+	starvingS = 45
 	// maxYieldS is the age up to which a job without any objective for its end yields to others.
 	maxYieldS = 3 * startOverdueS
 )
@@ -35,12 +38,30 @@
 		due = append(due, j.Spec.EstimateS+defaultSlackS)
 		tier = tierWithoutEndObjective(tier, age)
 	}
-	if !started && age+t.imageFetchS(j) > startOverdueS {
+	if t.idleS(j, age)+t.imageFetchS(j) > startOverdueS {
 		tier = planner.TierStartInTime
 	}
 	return endUrgency(tier, due, j.Spec.EstimateS+age)
 }
 
+// idleS returns the time for which nothing of a job has run, in seconds: since its submission, or since it
+// lost the last of its running tasks. It is 0 if a task is placed or none is left to place.
+func (t *Tracker) idleS(j *jobtable.Job, age float64) float64 {
+	switch {
+	case len(j.Placements) > 0:
+		return 0
+	case j.Done.Len() == 0:
+		return age
+	}
+	return j.WaitTime(t.Now()).Seconds()
+}
+
+// Starving reports whether none of a job's pending tasks has been placed for so long that the job may use
+// capacity that is only reserved for jobs that may come.
+func (t *Tracker) Starving(j *jobtable.Job) bool {
+	return j.WaitTime(t.Now()).Seconds() > starvingS
+}
+
 // startTier returns TierStartInTime if the job can still meet an objective for its start, else
 // TierTooLate.
 func (t *Tracker) startTier(j *jobtable.Job, age float64, started bool) planner.Tier {
--- a/internal/leader/recordstore/apply.go
+++ b/internal/leader/recordstore/apply.go
@@ -88,7 +88,7 @@
 	if r.Format.Services && content.Spec.IsService() {
 		content.FormatMarked = true // an earlier version of the software wrote it as an array
 	}
-	j := jobtable.NewJob()
+	j := jobtable.NewJob(r.Now())
 	if content.Hosted != nil {
 		r.jobs.AwaitPermission(j)
 	}
--- a/internal/leader/snapshot_test.go
+++ b/internal/leader/snapshot_test.go
@@ -42,6 +42,20 @@
 	}
 }
 
+// A job avoids the machine on which it failed, but not for ever: the cloud may have no other one.
+func TestStarvingJobTriesMachineOnWhichItFailed(t *testing.T) {
+	l, j, m, mailbox := leaderWithOneTask(t)
+	l.jobs.ReleasePlacement(j, j.Placements[0])
+	j.AvoidMachine(m.Name)
+	for _, waitS := range []float64{1, 60} {
+		mailbox.Now = j.WaitingSince + clock.FromSeconds(waitS)
+		planned := l.snapshots.PlannedJob(j, mailbox.Now, snapshots.WithoutOverheads)
+		if avoided := planned.AvoidedMachines[m.Name]; avoided != (waitS < 45) {
+			t.Errorf("after %v s: machine avoided %v, want %v", waitS, avoided, waitS < 45)
+		}
+	}
+}
+
 // Replicas don't count as work of their team beyond its guarantee. If they did, the guarantees of other
 // teams would preempt them.
 func TestReplicasAreNeverOverQuota(t *testing.T) {
--- a/internal/leader/snapshots/jobs.go
+++ b/internal/leader/snapshots/jobs.go
@@ -71,8 +71,9 @@
 		Lender:          j.Reclaiming,
 		BackingOff:      now < j.NotBefore || b.zones.AwaitsClearance(j),
 		MayPreempt:      j.StartFailures <= maxPreemptingFailures,
-		AvoidedMachines: j.AvoidMachines,
+		AvoidedMachines: b.avoidedMachines(j),
 		ScaleOutOverdue: scaleOutOverdue(j, now),
+		Starving:        b.objectives.Starving(j),
 	}
 	b.setUrgency(j, &planned)
 	planned.Running = b.runningTasks(j, now, overheads)
@@ -129,12 +130,21 @@
 	planned.MaxStarts = len(planned.Pending)
 }
 
+// avoidedMachines returns the machines that a job avoids because it failed there. A job that starves tries
+// them again: there may be no other machine.
+func (b *Builder) avoidedMachines(j *jobtable.Job) map[protocol.MachineName]bool {
+	if b.objectives.Starving(j) {
+		return nil
+	}
+	return j.AvoidMachines
+}
+
 // machinesWithExitedTasks returns the machines that a gang avoids. For a gang that may be completed, it
 // adds the machines that still report an exited task of the gang: if the exited task is of the attempt
 // that is being completed, a start of the same task and attempt has no effect there.
 func (b *Builder) machinesWithExitedTasks(j *jobtable.Job) map[protocol.MachineName]bool {
 	if len(j.Placements) == 0 {
-		return j.AvoidMachines
+		return b.avoidedMachines(j)
 	}
 	avoid := maps.Clone(j.AvoidMachines)
 	for _, m := range b.machines.Ordered {
@@ -151,6 +161,7 @@
 // the capacity that is free beyond the cell's reserve.
 func (b *Builder) restrictHosted(j *jobtable.Job, planned *planner.Job, now clock.Micros) {
 	planned.MayPreempt, planned.HasStartObjective, planned.Lender = false, false, false
+	planned.Starving = false // this cell's reserves are for its own jobs
 	planned.Tier, planned.SlackS, planned.StartSlackS = planner.TierEndInTime, math.MaxFloat64,
 		math.MaxFloat64
 	planned.BackingOff = planned.BackingOff || !j.Permission.MayStart(now+startMargin) || j.Hosted.Closed
--- a/internal/leader/snapshots/reserve.go
+++ b/internal/leader/snapshots/reserve.go
@@ -61,7 +61,7 @@
 
 // expectedArrivals returns reserves for jobs that users are expected to submit soon and that should
 // start sooner than a machine boots. These reserves come after the jobs that can still start in time,
-// and before all others.
+// and before all others, but yield to jobs that starve.
 func (b *Builder) expectedArrivals() []planner.Job {
 	var jobs []planner.Job
 	for class, history := range ordered.ByKey(b.objectives.Classes) {
@@ -84,7 +84,9 @@
 		spec.Types = b.catalogue.ReplicaTypes(&history.Spec)
 	}
 	id := protocol.JobID(reservePrefix + class)
-	return newReserve(id, &spec, tasks, rank, planner.TierStartInTime)
+	reserve := newReserve(id, &spec, tasks, rank, planner.TierStartInTime)
+	reserve.Yields = true
+	return reserve
 }
 
 // ReplicaReserve returns the number of replicas of a class for which capacity is reserved. It is the
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -21,8 +21,13 @@
 		return
 	}
 	_, assigned := p.assignTasks(job, candidates)
-	job.MaxStarts -= assigned
-	job.Pending = job.Pending[assigned:]
+	job.removePending(assigned)
+}
+
+// removePending removes the first n tasks, which the plan has assigned, from Pending.
+func (j *Job) removePending(n int) {
+	j.MaxStarts -= n
+	j.Pending = j.Pending[n:]
 }
 
 // assignTasks assigns pending tasks, in their order, to the cheapest of the candidates until no
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+
+	"postpoint/internal/protocol"
 )
 
 // fitGang returns a machine for each of n tasks, or nil if not all of them fit. If the job needs
@@ -103,8 +105,9 @@
 }
 
 // fitsWhenEmpty reports whether n tasks would fit on the present machines, booting ones included,
-// if nothing else ran there.
+// if nothing else ran there but the service replicas that the job may not preempt: they don't end.
 func (p *planning) fitsWhenEmpty(job *Job, n int) bool {
+	held := p.heldByReplicas(job)
 	var usable []*Machine
 	for i := range p.machines {
 		if machine := &p.machines[i]; job.mayUse(machine) {
@@ -114,7 +117,7 @@
 	for _, group := range p.zoneGroups(job, usable) {
 		capacity := 0
 		for _, machine := range group {
-			capacity += CopiesInEmpty(job.Spec, machine.Capacity)
+			capacity += CopiesInEmpty(job.Spec, machine.Capacity.Minus(held[machine.Name]))
 		}
 		if capacity >= n {
 			return true
@@ -122,3 +125,15 @@
 	}
 	return false
 }
+
+// heldByReplicas returns, by machine, the resources of the service replicas that the job may not preempt.
+func (p *planning) heldByReplicas(job *Job) map[protocol.MachineName]Resources {
+	held := map[protocol.MachineName]Resources{}
+	for _, replica := range p.replicas {
+		if !canBePreempted(replica.job, replica.run, job) {
+			name := replica.run.Machine
+			held[name] = held[name].Plus(TaskResources(replica.job.Spec))
+		}
+	}
+	return held
+}
--- a/internal/planner/gang_test.go
+++ b/internal/planner/gang_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+
+	"postpoint/internal/protocol"
 )
 
 // The planner reserves free capacity for the first gang in the queue that doesn't fit: otherwise
@@ -32,6 +34,15 @@
 		t.Fatalf("placed %v, want nothing since the gang fits once another job ends", plan.Placements)
 	}
 
+	// The other tasks are replicas, which don't end.
+	busy.Replicas = 1
+	service := arrayJob("job-r", 2, 1, 4, RunningTask{Machine: "m3"})
+	service.Spec.Shape = protocol.ShapeService
+	plan = MakePlan(Snapshot{Jobs: []Job{gang, small, service}, Machines: append(machinesWith(3, 4, 4), busy)})
+	if len(plan.Placements) != 3 {
+		t.Fatalf("placed %v, want the 3 tasks of the small job since the replica doesn't end", plan.Placements)
+	}
+
 	// The gang isn't due to start now.
 	gang.ScaleOutOverdue, gang.Tier = false, TierEndInTime
 	plan = MakePlan(Snapshot{Jobs: []Job{gang, small}, Machines: machinesWith(3, 4, 4)})
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -65,6 +65,10 @@
 	// ScaleOutOverdue reports whether the job has needed additional machines for a long time and
 	// still needs them.
 	ScaleOutOverdue bool
+	// Starving reports whether none of the job's pending tasks has been placed for a long time.
+	Starving bool
+	// Yields reports whether the job is a reserve that gives its capacity to jobs that starve.
+	Yields bool
 	// unlistedPlacements counts the tasks that the plan places without adding them to Running,
 	// because their machines make no difference to the rest of the plan.
 	unlistedPlacements int
--- a/internal/planner/planning.go
+++ b/internal/planner/planning.go
@@ -24,6 +24,8 @@
 
 	// stopping are the tasks that the leader was already stopping before this plan.
 	stopping []victim
+	// replicas are the running replicas of services, which don't end by themselves.
+	replicas []victim
 	// preempting reports whether victims are stopping for some job. The planner preempts no more
 	// until they have stopped: otherwise it would preempt again and again for one shortage.
 	preempting bool
@@ -54,6 +56,7 @@
 	for sameRank := range ranks(jobs) {
 		p.planRank(sameRank, jobs)
 	}
+	p.yieldReserves(jobs)
 	return p.plan
 }
 
@@ -90,6 +93,8 @@
 			if r.Stopping {
 				p.stopping = append(p.stopping, victim{job, r})
 				p.preempting = true
+			} else if job.Spec.IsService() {
+				p.replicas = append(p.replicas, victim{job, r})
 			}
 		}
 		if len(job.Running) > 0 {
@@ -120,6 +125,7 @@
 // else records unmet demand, less the tasks for which it reserves capacity.
 func (p *planning) planJob(job *Job, jobs []Job) {
 	demand, assigned := p.assignPending(job)
+	job.removePending(assigned)
 	unmet := demand - assigned
 	if unmet == 0 {
 		return
--- a/internal/simulation/kinds.go
+++ b/internal/simulation/kinds.go
@@ -26,6 +26,7 @@
 	{"cells", simulateCells},
 	{"recovery", simulateRecovery},
 	{"upgrade", simulateUpgrade},
+	{"scarcity", simulateScarcity},
 }
 
 // Simulate runs the simulation with a seed. It records all messages and, at the end, all values of the
