The test of other cells' influence compares averages over eight worlds

TestOtherCellsDontDelayOwnJobs compared one world without a disturbance to one with each.

The base is now a cell without a cells file, which is what the comment said, and each case is the average over eight worlds. The bound is the same.

--- a/internal/simulation/celloperations_test.go
+++ b/internal/simulation/celloperations_test.go
@@ -86,12 +86,40 @@
 }
 
 // Another cell is dead, partitioned or floods a cell with heartbeats. The cell must start its own jobs about
-// as soon as without the other cell.
+// as soon as without another cell. How long a machine boots differs from world to world, so the test compares
+// the averages over several of them.
 func TestOtherCellsDontDelayOwnJobs(t *testing.T) {
 	t.Parallel()
+	const worlds = 8
+	starts := map[string]clock.Micros{}
+	for seed := range uint64(worlds) {
+		for name, delay := range startsWithNeighbours(t, 4600+seed) {
+			starts[name] += delay / worlds
+		}
+	}
+	for name, mean := range starts {
+		if mean > starts[withoutNeighbour]*11/10+4*clock.Second {
+			t.Errorf("%s: jobs waited %.1f s in total, want at most a tenth and 4 s more than alone (%.1f s)",
+				name, mean.Seconds(), starts[withoutNeighbour].Seconds())
+		}
+	}
+}
+
+// withoutNeighbour names the case without another cell.
+const withoutNeighbour = "alone"
+
+// startsWithNeighbours returns for how long the jobs of a cell waited in total, by the state of another cell.
+func startsWithNeighbours(t *testing.T, seed uint64) map[string]clock.Micros {
+	t.Helper()
 	starts := map[string]clock.Micros{}
 	for name, neighbour := range map[string]func(w *World, g *Group){
-		"alone": func(*World, *Group) {},
+		withoutNeighbour: func(_ *World, g *Group) {
+			for _, n := range g.Cells[0].Nodes {
+				n.WithoutCells = true
+				n.Crash()
+			}
+			g.Cells[0].startNodes()
+		},
 		"dead": func(_ *World, g *Group) {
 			for _, n := range g.Cells[1].Nodes {
 				n.Crash()
@@ -116,7 +144,7 @@
 			})
 		},
 	} {
-		w := NewWorld(4600)
+		w := NewWorld(seed)
 		w.MessageCost = 100
 		g := NewGroup(w, []*settings.Settings{testSettings(), testSettings()}, testTypes(), defaultHostedLimits,
 			"[[spill]]\nfrom = \"alpha\"\nto = [\"beta\"]\n[[spill]]\nfrom = \"beta\"\nto = [\"alpha\"]\n", 0)
@@ -132,12 +160,7 @@
 			starts[name] += j.startedAt - j.submittedAt
 		}
 	}
-	for name, sum := range starts {
-		if sum > starts["alone"]*11/10+4*clock.Second {
-			t.Errorf("%s: jobs waited %.1f s in total, want at most a tenth and 4 s more than alone (%.1f s)",
-				name, sum.Seconds(), starts["alone"].Seconds())
-		}
-	}
+	return starts
 }
 
 // Operators drain a cell while it hosts another cell's tasks. All tasks must return to the origin cell after
