Late copies of executed starts are rejected by a higher token, whatever became of the task

A late copy of a start that a machine has executed and answered reaches it once more.

Cause: a worker runs a forgotten attempt again. The leader let completed tasks be forgotten, and all tasks on machines with very many; a machine that comes back has forgotten them by itself. The assumption was that what has been executed and answered doesn't arrive again, or meets a worker that remembers it.

Change: the response that lets a worker forget an attempt that a direct command started carries a higher fencing token than that command. It is the revision of the leader's last transaction: each transaction depends on the leader key, so that all later leaders have higher epochs, and versions before can lead in between. Nothing has to be remembered any more for the rest of a term.

--- a/internal/leader/machinetable/delivery.go
+++ b/internal/leader/machinetable/delivery.go
@@ -29,9 +29,9 @@
 	InHeartbeat bool
 	// OutcomeUnknown reports that a direct command with the start got no usable response.
 	OutcomeUnknown bool
-	// Replica reports that the task belongs to a service. It is needed here because the job may be
-	// final and forgotten.
-	Replica bool
+	// DirectToken is the fencing token of the last direct command with the start, 0 if there was none. Late
+	// copies of the command may arrive as long as the worker has seen no higher token.
+	DirectToken protocol.Epoch
 	// StartSentAt and StopSentAt are the times at which a start and a stop were last sent.
 	StartSentAt clock.Micros
 	StopSentAt  clock.Micros
@@ -76,12 +76,21 @@
 	}
 }
 
-// RecordStart records that the leader sends a start, in the response to a heartbeat or by a direct command.
-func (d *StartDelivery) RecordStart(inHeartbeat, replica bool, now clock.Micros) {
-	d.StartSentAt, d.Replica = now, replica
-	if inHeartbeat {
-		d.InHeartbeat = true
-	} else {
-		d.InCommand = true
+// RecordHeartbeatStart records that the leader sends a start in the response to a heartbeat.
+func (d *StartDelivery) RecordHeartbeatStart(now clock.Micros) {
+	d.StartSentAt, d.InHeartbeat = now, true
+}
+
+// RecordDirectStart records that the leader sends a start by a direct command with a fencing token.
+func (d *StartDelivery) RecordDirectStart(token protocol.Epoch, now clock.Micros) {
+	d.StartSentAt, d.InCommand, d.DirectToken = now, true, max(d.DirectToken, token)
+}
+
+// DirectToken returns the fencing token of the last direct command with a start of an attempt, 0 if there was
+// none.
+func (c *CommandState) DirectToken(ref AttemptRef) protocol.Epoch {
+	if d := c.Deliveries[ref]; d != nil {
+		return d.DirectToken
 	}
+	return 0
 }
--- a/internal/leader/machinetable/machine.go
+++ b/internal/leader/machinetable/machine.go
@@ -224,6 +224,9 @@
 type CommandState struct {
 	// Deliveries holds the state of the commands of each attempt.
 	Deliveries map[AttemptRef]*StartDelivery
+	// RaisedToken is the fencing token of the messages to the worker if it was raised above the epoch,
+	// else 0.
+	RaisedToken protocol.Epoch
 	// CommandInFlight reports that a direct command has no response yet.
 	CommandInFlight bool
 	// PushPending reports that another direct command has to follow that response.
--- a/internal/leader/machinetable/machinetable.go
+++ b/internal/leader/machinetable/machinetable.go
@@ -314,9 +314,13 @@
 // EpochAcknowledged reports whether the worker rejects all commands of earlier leaders: a task that
 // its heartbeats don't list isn't there, and no command of an earlier leader can add it.
 func (mt *Table) EpochAcknowledged(m *Machine) bool {
-	return m.HeartbeatReceived && !m.LeaseExpired && m.AcknowledgedEpoch == mt.Term.Epoch
+	return m.HeartbeatReceived && !m.LeaseExpired && m.AcknowledgedEpoch >= mt.Term.Epoch &&
+		m.AcknowledgedEpoch <= mt.LatestToken()
 }
 
+// Token returns the fencing token of messages to a machine's worker.
+func (mt *Table) Token(m *Machine) protocol.Epoch { return max(mt.Term.Epoch, m.RaisedToken) }
+
 // ProvenEmptyAt returns when every lease that could keep a machine's tasks alive has expired: those
 // that this controller renewed by its own responses, those that an earlier leader may have renewed until
 // the end of its renewal window, and the one with which an incarnation begins, without a response,
--- a/internal/leader/reconciler/commands.go
+++ b/internal/leader/reconciler/commands.go
@@ -82,7 +82,9 @@
 func (cs *CommandSender) Send(m *machinetable.Machine, incarnation protocol.Incarnation,
 	commands []protocol.Command, done func(CommandResult)) {
 	m.BeginCommand()
-	request := protocol.CommandRequest{Epoch: cs.Term.Epoch, Incarnation: incarnation, Commands: commands}
+	request := protocol.CommandRequest{
+		Epoch: cs.machines.Token(m), Incarnation: incarnation, Commands: commands,
+	}
 	until := min(cs.ActsUntil(), cs.permittedUntil(commands))
 	cs.Workers.Commands(m.Address, request, until, term.Guarded(cs.State, func(r workerclient.Response) {
 		if cs.machines.ByName[m.Name] != m {
--- a/internal/leader/reconciler/commandset.go
+++ b/internal/leader/reconciler/commandset.go
@@ -134,13 +134,22 @@
 		return // a start without its stop would run the task
 	}
 	if startDue {
-		d.RecordStart(set.via == ViaHeartbeat, j.Spec.IsService(), set.now)
+		set.recordStart(d)
 	}
 	if stopDue {
 		d.StopSentAt = set.now
 	}
 }
 
+// recordStart records that the set contains a start.
+func (set *commandSet) recordStart(d *machinetable.StartDelivery) {
+	if set.via == ViaHeartbeat {
+		d.RecordHeartbeatStart(set.now)
+	} else {
+		d.RecordDirectStart(set.sender.machines.Token(set.m), set.now)
+	}
+}
+
 // addCancellations adds stops for the remaining tasks of jobs that must not run. Confirmed
 // cancellations are final, so their stops are the only commands that need neither the leader's lease
 // nor up-to-date records. The response to a heartbeat always carries these stops: it renews the
@@ -189,7 +198,7 @@
 // exited tasks in batches, along with other commands, or after ForgetDelay.
 func (set *commandSet) addForUnassigned() {
 	m := set.m
-	var forgets []protocol.Command
+	var forgets []machinetable.AttemptRef
 	m.ExitedTasks = 0
 	for _, ref := range set.sender.unassignedTasks(m) {
 		t := m.Tasks[ref]
@@ -199,8 +208,8 @@
 			continue
 		}
 		m.ExitedTasks++
-		if set.via == ViaHeartbeat && set.sender.forgettable(m, ref, t) {
-			forgets = append(forgets, commandFor(protocol.VerbForget, ref))
+		if set.via == ViaHeartbeat && set.sender.forgettable(m, ref) {
+			forgets = append(forgets, ref)
 		}
 	}
 	if set.via != ViaHeartbeat || m.ExitedTasks == 0 {
@@ -211,12 +220,24 @@
 	}
 	if len(set.commands) > 0 || len(forgets) >= ForgetBatch || set.now >= m.ForgetAt {
 		m.ForgetAt = set.now + ForgetDelay
-		for _, forget := range forgets {
-			set.add(forget)
+		for _, ref := range forgets {
+			set.addForget(ref)
 		}
 	}
 }
 
+// addForget adds a command to forget an exited task. If the task was started by a direct command with the
+// present token, the response carries a higher one: late copies of the start then have no effect, although
+// the worker doesn't know any more that it executed the start.
+func (set *commandSet) addForget(ref machinetable.AttemptRef) {
+	if !set.add(commandFor(protocol.VerbForget, ref)) {
+		return
+	}
+	if set.m.DirectToken(ref) >= set.sender.machines.Token(set.m) {
+		set.m.RaisedToken = set.sender.LatestToken()
+	}
+}
+
 // unassignedTasks returns the tasks on a machine that aren't placed there, in a fixed order. It skips
 // the running tasks of jobs that must not run, which addCancellations stops, and all tasks of jobs
 // whose records are malformed, since the leader doesn't know the placements of these jobs.
@@ -237,10 +258,17 @@
 
 // forgettable reports whether a worker may forget an exited task: its exit is stored, and no start can
 // run the attempt again.
-func (cs *CommandSender) forgettable(m *machinetable.Machine, ref machinetable.AttemptRef,
-	t protocol.TaskStatus) bool {
+func (cs *CommandSender) forgettable(m *machinetable.Machine, ref machinetable.AttemptRef) bool {
 	j := cs.jobs.ByID[ref.Job]
-	return (j == nil || j.OutcomeStored(ref.Task)) && !m.StartMayArrive(ref) && !LateStartHarmful(m, ref, t)
+	return (j == nil || j.OutcomeStored(ref.Task)) && !m.StartMayArrive(ref) && cs.canFence(m, ref)
+}
+
+// canFence reports whether a response can carry a fencing token that is higher than that of each direct
+// command with a start of an attempt. The token isn't raised while a direct command is on its way, since
+// the worker would reject the command.
+func (cs *CommandSender) canFence(m *machinetable.Machine, ref machinetable.AttemptRef) bool {
+	direct := m.DirectToken(ref)
+	return direct < cs.machines.Token(m) || direct < cs.LatestToken() && !m.CommandInFlight
 }
 
 // upToDate reports whether a machine runs exactly the tasks that it should, so that it needs no
--- a/internal/leader/reconciler/exits.go
+++ b/internal/leader/reconciler/exits.go
@@ -183,20 +183,3 @@
 	jitter := 1 - jobtable.RestartJitter + 2*jobtable.RestartJitter*rc.Random.Float64()
 	return clock.Micros(float64(delay) * jitter)
 }
-
-// maxListedTasks bounds the number of tasks that a worker keeps only in case of late starts, so that
-// heartbeats stay well within their size limit.
-const maxListedTasks = 400
-
-// LateStartHarmful reports whether a late copy of an executed start could do harm: the task is to run
-// again, and a worker that has forgotten this attempt would start it although the leader doesn't expect
-// it there. Starts from earlier terms are harmless, since workers reject older epochs, and so are
-// starts of tasks that are done, since these don't run again. The leader takes the risk only on a
-// machine with a very large number of such attempts.
-func LateStartHarmful(m *machinetable.Machine, ref machinetable.AttemptRef, t protocol.TaskStatus) bool {
-	d := m.Deliveries[ref]
-	if d == nil || len(m.Tasks) >= maxListedTasks {
-		return false
-	}
-	return t.Cause != protocol.CauseDone || d.Replica // a replica runs again after any exit
-}
--- a/internal/leader/reconciler/heartbeats.go
+++ b/internal/leader/reconciler/heartbeats.go
@@ -142,7 +142,7 @@
 	m.ClearInHeartbeat()
 	commands := hb.commands.CommandsFor(m, ViaHeartbeat)
 	m.RecordResponse(machinetable.NumberOf(&heartbeat), hb.Now())
-	return accepted, protocol.HeartbeatResponse{Epoch: hb.Term.Epoch, Commands: commands}
+	return accepted, protocol.HeartbeatResponse{Epoch: hb.machines.Token(m), Commands: commands}
 }
 
 // otherLeader returns the controller to which workers should turn, "" if none is known.
@@ -162,7 +162,7 @@
 		hb.health.challenge(m)
 		return false
 	}
-	return heartbeat.Incarnation == m.Incarnation && !m.LeaseExpired && heartbeat.Epoch <= hb.Term.Epoch
+	return heartbeat.Incarnation == m.Incarnation && !m.LeaseExpired && heartbeat.Epoch <= hb.LatestToken()
 }
 
 // checkPermissions checks the permissions of the hosted jobs on a machine for expiry before the leader
--- a/internal/leader/reconciler/reconciler.go
+++ b/internal/leader/reconciler/reconciler.go
@@ -47,7 +47,7 @@
 	if outdated(m, &heartbeat) {
 		return
 	}
-	if heartbeat.Epoch > rc.Term.Epoch {
+	if heartbeat.Epoch > rc.LatestToken() {
 		rc.Deposed(heartbeat.Epoch)
 	}
 	if !m.HeartbeatReceived {
--- a/internal/leader/recordstore/writer.go
+++ b/internal/leader/recordstore/writer.go
@@ -158,6 +158,9 @@
 	w.Committing = true
 	t.Commit(w.Store, term.Guarded(w.State, func(r kvstore.Result[protocol.Revision]) {
 		w.Committing = false
+		if r.Err == nil {
+			w.RecordCommit(r.Value)
+		}
 		handle(r)
 		w.steps.Wake()
 	}))
--- a/internal/leader/term/term.go
+++ b/internal/leader/term/term.go
@@ -42,6 +42,9 @@
 	// AttestedAt is the time up to which this controller knows all cancellations that any controller
 	// has confirmed to users, because it has asked every one of them.
 	AttestedAt clock.Micros
+	// committedAt is the revision of the last transaction of this term that the store has confirmed, 0 if
+	// there was none.
+	committedAt protocol.Revision
 	// Random is seeded with the epoch, so that the same events draw the same numbers.
 	Random *rand.Rand
 }
@@ -67,9 +70,21 @@
 	s.Loaded = false
 	s.BegunAt = s.Now()
 	s.RecordsKnownUntil, s.AttestedAt = 0, 0
+	s.committedAt = 0
 	s.Random = NewRandom(s.Term.Epoch)
 }
 
+// RecordCommit records that the store has committed a transaction of this term at a revision.
+func (s *State) RecordCommit(revision protocol.Revision) {
+	s.committedAt = max(s.committedAt, revision)
+}
+
+// LatestToken returns the highest fencing token that this controller may use in its term: the epoch or, if
+// that is higher, the revision of its last transaction. Each transaction requires the leader key, so that the
+// epoch of every later leader is higher. A worker that has seen a higher token rejects late copies of
+// commands with a lower one.
+func (s *State) LatestToken() protocol.Epoch { return max(s.Term.Epoch, protocol.Epoch(s.committedAt)) }
+
 // Depose stops this controller from acting as leader at once. The Deposed callback then makes it look
 // for the elected leader.
 func (s *State) Depose(elected protocol.Epoch) {
--- a/internal/simulation/commands.go
+++ b/internal/simulation/commands.go
@@ -22,6 +22,9 @@
 	}
 	m.adoptEpoch(c.Epoch)
 	m.execute(c.Commands)
+	if m.KeepCommands {
+		m.executed = append(m.executed, c)
+	}
 	return http.StatusOK, m.newHeartbeat()
 }
 
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -71,6 +71,7 @@
 	(*fault).loseResponses,
 	(*fault).loseHeartbeats,
 	(*fault).loseHeartbeats,
+	(*fault).restartAgent,
 }
 
 // injectFault starts a random fault of a controller, a service or the users, and one of a worker. Both end
--- a/internal/simulation/storerecords.go
+++ b/internal/simulation/storerecords.go
@@ -6,9 +6,11 @@
 	"postpoint/internal/protocol"
 )
 
-// isLeaderEpoch reports whether an epoch is that of the current leader in the store.
-func (s *FakeStore) isLeaderEpoch(epoch protocol.Epoch) bool {
-	return s.entries[election.LeaderKey].version == protocol.Revision(epoch)
+// isLeaderEpoch reports whether a fencing token is one that only the current leader in the store may use: its
+// epoch, or the revision of a change since then.
+func (s *FakeStore) isLeaderEpoch(token protocol.Epoch) bool {
+	elected := s.entries[election.LeaderKey].version
+	return elected != 0 && protocol.Revision(token) >= elected && protocol.Revision(token) <= s.revision
 }
 
 // record decodes the head of a job's record, without its shards; nil if there is none.
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -65,6 +65,9 @@
 	forgotten map[attemptKey]bool
 	// images are the images that the machine has or fetches, of the jobs that have a fetchTime.
 	images imagePulls
+	// KeepCommands makes the machine keep the direct commands that it executes in executed, for late copies.
+	KeepCommands bool
+	executed     []protocol.CommandRequest
 	// Faulty is set while the machine fails every task.
 	Faulty bool
 }
--- a/internal/simulation/workerfaults.go
+++ b/internal/simulation/workerfaults.go
@@ -26,6 +26,10 @@
 // reclaimWorker makes the cloud reclaim the machine, after a short notice or none.
 func (f *fault) reclaimWorker() { f.d.Reclaim(f.worker, f.w.Between(0, 12*clock.Second)) }
 
+// restartAgent makes the worker's agent return within a moment: without its tasks, and with its counters from
+// one. It keeps the highest fencing token that it has seen.
+func (f *fault) restartAgent() { f.worker.RestartCounters(true) }
+
 // failTasks makes the worker fail every task that it starts.
 func (f *fault) failTasks() {
 	f.worker.Faulty = true
