--- a/internal/leader/machinetable/machinetable.go
+++ b/internal/leader/machinetable/machinetable.go
@@ -233,6 +233,16 @@
 	return total.MostOnTime()
 }
 
+// AnyMachineOnTime reports whether any machine sends heartbeats on time.
+func (mt *Table) AnyMachineOnTime() bool {
+	for _, zone := range mt.HeartbeatsByZone() {
+		if zone.OnTime > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // SilentFor reports whether a machine has sent no heartbeat for the given time, neither by itself nor in
 // response to a direct command, of which at least one has failed since.
 func (mt *Table) SilentFor(m *Machine, d clock.Micros) bool {
--- a/internal/leader/reconciler/cancellations.go
+++ b/internal/leader/reconciler/cancellations.go
@@ -92,18 +92,19 @@
 // them. It does so even without the leader's lease: neither these stops nor these releases can harm a
 // later leader.
 func (cn *Cancellations) EndCancelledTasks() {
-	mostOnTime := sync.OnceValue(cn.machines.MostMachinesOnTime)
+	anyOnTime := sync.OnceValue(cn.machines.AnyMachineOnTime)
 	for _, j := range ordered.ByKey(cn.jobs.ByID) {
 		if j.MustNotRun() {
-			cn.endPlacements(j, mostOnTime)
+			cn.endPlacements(j, anyOnTime)
 		}
 	}
 	cn.Releases.SendReleases()
 }
 
-// endPlacements stops the remaining tasks of a job that must not run. mostOnTime reports whether most
-// machines send heartbeats on time.
-func (cn *Cancellations) endPlacements(j *jobtable.Job, mostOnTime func() bool) {
+// endPlacements stops the remaining tasks of a job that must not run. anyOnTime reports whether any machine
+// sends heartbeats on time. If none does, it is more likely that this controller receives nothing than that
+// all machines hang, and only machines on which nothing else runs are released early.
+func (cn *Cancellations) endPlacements(j *jobtable.Job, anyOnTime func() bool) {
 	for _, p := range ordered.ByKey(j.Placements) {
 		if p.HostCell() != "" {
 			continue // the host cell ends it, at the latest when its permission expires
@@ -111,7 +112,7 @@
 		m := cn.machines.GetOrAdd(p.Machine)
 		switch {
 		case !j.MustEnd() || m.Overdue:
-		case cn.hangs(m) && mostOnTime():
+		case cn.hangs(m) && (anyOnTime() || cn.onlyEndingTasks(m)):
 			cn.machines.ScheduleOverdueRelease(m, machinetable.ReleaseSilentCancelled)
 		case cn.Now() > cn.ReleaseAt(j):
 			cn.machines.ScheduleOverdueRelease(m, machinetable.ReleaseCancelledRemaining)
@@ -140,6 +141,17 @@
 	return cn.machines.SilentFor(m, cn.Settings.Deployment.Workers.Lease()/2)
 }
 
+// onlyEndingTasks reports whether every placement on a machine is of a job that must end, so that nothing is
+// lost with the machine.
+func (cn *Cancellations) onlyEndingTasks(m *machinetable.Machine) bool {
+	for id := range m.Placements {
+		if j := cn.jobs.ByID[id]; j == nil || !j.MustEnd() {
+			return false
+		}
+	}
+	return true
+}
+
 // ReleaseAt returns when the leader releases a machine that holds tasks of a cancelled job, silent or
 // not. By then the lease has expired on a worker that runs but can't be reached, and the worker has
 // stopped its tasks; a worker that hangs holds its tasks until the machine is gone. A new leader first
--- a/internal/simulation/cancellation_test.go
+++ b/internal/simulation/cancellation_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"postpoint/internal/clock"
 	"postpoint/internal/protocol"
+	"postpoint/internal/scaling"
 )
 
 // A leader is partitioned together with the workers, and the majority accepts a cancellation. The old leader
@@ -80,12 +82,57 @@
 // must ask the cloud so early that the worker is gone cancel_s after the confirmation whenever the outage
 // begins.
 func TestHungWorkerIsReleasedDespiteCloudOutage(t *testing.T) {
+	mustReleaseDespiteOutage(t, func() (*World, *Deployment, *Job, []*FakeWorker) {
+		w, d, j, _ := twoJobs(t, 44, 300*clock.Second)
+		return w, d, j, sortedKeys(j.machines[0])[:1]
+	})
+}
+
+// The only machine in use hangs with a cancelled task, so that no heartbeat at all arrives. The leader must
+// ask the cloud as early as if other machines were heard of: nothing else is lost with the machine.
+func TestOnlyWorkerThatHangsIsReleasedDespiteCloudOutage(t *testing.T) {
+	mustReleaseDespiteOutage(t, func() (*World, *Deployment, *Job, []*FakeWorker) {
+		w := NewWorld(44)
+		d := NewDeployment(w, testSettings(), testTypes(), 0)
+		d.Cloud.Reliable = true
+		d.Cloud.Capacity = map[scaling.CapacityPool]int{{Type: "small", Zone: "a"}: 1}
+		j := d.Submit(arraySpec("job-000001", "open", 1, 4, 300), 300*clock.Second, false)
+		if !runUntil(w, 60*clock.Second, clock.Second, func() bool { return len(j.machines[0]) > 0 }) {
+			t.Fatal("the job doesn't run")
+		}
+		return w, d, j, sortedKeys(j.machines[0])
+	})
+}
+
+// Most machines hang, with a cancelled task and others, while one is still heard of. So the leader isn't cut
+// off, and must ask the cloud as early as if only one hung.
+func TestMostWorkersThatHangAreReleasedDespiteCloudOutage(t *testing.T) {
+	mustReleaseDespiteOutage(t, func() (*World, *Deployment, *Job, []*FakeWorker) {
+		w, d, j, _ := twoJobs(t, 44, 300*clock.Second)
+		hung := d.Workers()
+		spared := slices.IndexFunc(hung, func(m *FakeWorker) bool { return !m.runs(j) })
+		if spared < 0 || len(hung) < 3 {
+			t.Fatalf("%d machines, want at least three and one that doesn't run the job", len(hung))
+		}
+		return w, d, j, slices.Delete(hung, spared, spared+1)
+	})
+}
+
+// mustReleaseDespiteOutage lets machines hang, cancels a job, and checks for each beginning of an outage of the
+// cloud that those of the machines that run the job are released in time.
+func mustReleaseDespiteOutage(t *testing.T, start func() (*World, *Deployment, *Job, []*FakeWorker)) {
+	t.Helper()
 	const outage = 20 * clock.Second
 	cancelTime := clock.FromSeconds(testSettings().Deployment.Workers.CancelS)
 	for begins := clock.Micros(0); begins < cancelTime; begins += clock.Second {
-		w, d, j, _ := twoJobs(t, 44, 300*clock.Second)
-		hung := sortedKeys(j.machines[0])[0]
-		hung.Hung = true
+		w, d, j, hung := start()
+		var holding []*FakeWorker
+		for _, m := range hung {
+			m.Hung = true
+			if m.runs(j) {
+				holding = append(holding, m)
+			}
+		}
 		w.Run(w.Now() + clock.Second)
 		confirmCancel(w, d, j)
 		confirmedAt := w.Now()
@@ -94,9 +141,11 @@
 		w.Run(min(w.Now()+outage, confirmedAt+cancelTime))
 		d.Cloud.Outage = w.Now() < confirmedAt+begins+outage
 		w.Run(confirmedAt + cancelTime)
-		if !hung.ended {
-			t.Errorf("the cloud is out from %.0f s after the confirmation on, and %s isn't released, want it released",
-				begins.Seconds(), hung.name)
+		for _, m := range holding {
+			if !m.ended {
+				t.Errorf("the cloud is out from %.0f s after the confirmation on, and %s isn't released, want it released",
+					begins.Seconds(), m.name)
+			}
 		}
 	}
 }
