A slow fetch of a gang's image gets more time with each attempt, and shares the bandwidth

The bound now doubles with each fetch of the job that was given up, and counts all images that the machine fetches. Once a task of a gang has waited in vain, starts on machines that have the image are delayed whatever the rate promises.

--- a/internal/leader/jobtable/job.go
+++ b/internal/leader/jobtable/job.go
@@ -35,6 +35,8 @@
 	BrokenAttempt protocol.Attempt
 	// IncompleteAttempt is the latest attempt of a gang in which a task gave up waiting for its peers.
 	IncompleteAttempt protocol.Attempt
+	// OverdueFetches counts the fetches of a gang's image that were given up because they took too long.
+	OverdueFetches int
 	// StartFailures counts the failed starts that delayed the job since one of its tasks last ran.
 	StartFailures int
 	// NotBefore delays the next start of a job that failed to start.
--- a/internal/leader/reconciler/commands.go
+++ b/internal/leader/reconciler/commands.go
@@ -190,38 +190,6 @@
 	return nil
 }
 
-// Completable reports whether a gang that lost tasks hasn't started, so that replacements with the same
-// attempt number can complete it. The leader doesn't know the last state of a lost task, but if the gang
-// had started, the remaining tasks would be running, or would have exited because a peer was missing,
-// by the time the loss is proven.
-func (cs *CommandSender) Completable(j *jobtable.Job) bool {
-	if !j.Spec.IsGang() || len(j.Placements) == 0 || len(j.Stops) > 0 {
-		return false
-	}
-	attempt := protocol.Attempt(0)
-	for _, p := range j.Placements {
-		if p.Attempt <= j.BrokenAttempt || attempt != 0 && p.Attempt != attempt {
-			return false
-		}
-		if !cs.mayWaitForPeers(j, p) {
-			return false
-		}
-		attempt = p.Attempt
-	}
-	return true
-}
-
-// mayWaitForPeers reports whether a task of a gang hasn't started yet and is on a machine that keeps
-// running: one that renews its lease and that the cloud isn't about to reclaim.
-func (cs *CommandSender) mayWaitForPeers(j *jobtable.Job, p jobrecord.Placement) bool {
-	m := cs.machines.ByName[p.Machine]
-	if m == nil || !cs.machines.EpochAcknowledged(m) || !cs.machines.LeaseRenewed(m) || m.ReclaimAt != 0 {
-		return false
-	}
-	t, isListed := m.Tasks[j.AttemptOf(p)]
-	return !isListed || t.Status == protocol.TaskFetching || t.Status == protocol.TaskWaiting
-}
-
 // Stop stops a running task, which saves a checkpoint if it can. A gang can only save a checkpoint as a
 // whole, so Stop stops all of its tasks at once. forID is the job that needs the capacity, if any.
 func (cs *CommandSender) Stop(j *jobtable.Job, task int, reason string, forID protocol.JobID) {
--- a/internal/leader/reconciler/gangstart.go
+++ b/internal/leader/reconciler/gangstart.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 
 	"postpoint/internal/clock"
@@ -21,7 +22,7 @@
 //   - If a task gave up, the leader lets the tasks that still fetch complete their fetches before it stops
 //     them (CommandSender.completesFetch): the next attempt finds the image there.
 //   - A fetch that takes far longer than it should is given up, and the job avoids the machine
-//     (HealthMonitor.EndOverdueFetches).
+//     (HealthMonitor.EndOverdueFetches). The next one gets twice the time.
 
 const (
 	// slowFetchFactor is how many times longer than usual a fetch may take: machines differ by a third, and
@@ -29,13 +30,17 @@
 	slowFetchFactor = 3
 	// fetchCheckInterval is the time between two checks for fetches that take too long.
 	fetchCheckInterval = 5 * clock.Second
+	// maxPatienceDoublings bounds how often the time for a fetch doubles. It doubles each time a fetch of the
+	// job was given up, since all machines may be that slow.
+	maxPatienceDoublings = 8
 	// stopFetchOverdue is the reason for stops of tasks whose fetch takes far too long.
 	stopFetchOverdue = "fetch overdue"
 )
 
-// maxFetchTime returns how long a machine may take to fetch the image of a job.
-func (cs *CommandSender) maxFetchTime(m *machinetable.Machine, spec *protocol.JobSpec) clock.Micros {
-	return slowFetchFactor * cs.machines.FetchTime(m, spec.ImageGB)
+// maxFetchTime returns how long a machine may take to fetch images of the given size in total, 0 if that
+// isn't known.
+func (cs *CommandSender) maxFetchTime(m *machinetable.Machine, sizeGB float64) clock.Micros {
+	return slowFetchFactor * cs.machines.FetchTime(m, sizeGB)
 }
 
 // gangWait returns how long a task of a gang waits for its peers.
@@ -43,10 +48,10 @@
 	return clock.FromSeconds(cs.Settings.Deployment.Workers.GangWaitS)
 }
 
-// mayOutlastGangWait reports whether a machine may take longer to fetch a job's image than a task of a gang
-// waits for its peers.
-func (cs *CommandSender) mayOutlastGangWait(m *machinetable.Machine, spec *protocol.JobSpec) bool {
-	return cs.maxFetchTime(m, spec) > cs.gangWait()
+// mayOutlastGangWait reports whether a machine may take longer to fetch a gang's image than a task waits for
+// its peers: by the usual rate, or because a task of the gang has waited in vain before.
+func (cs *CommandSender) mayOutlastGangWait(m *machinetable.Machine, j *jobtable.Job) bool {
+	return j.IncompleteAttempt > 0 || cs.maxFetchTime(m, j.Spec.ImageGB) > cs.gangWait()
 }
 
 // awaitsPeerFetch reports whether the start of a gang's task on a machine is to be delayed: the task would
@@ -57,7 +62,7 @@
 	}
 	for _, p := range j.Placements {
 		peer := cs.machines.ByName[p.Machine]
-		if peer != nil && !hasFetched(j, p, peer) && cs.mayOutlastGangWait(peer, &j.Spec) {
+		if peer != nil && !hasFetched(j, p, peer) && cs.mayOutlastGangWait(peer, j) {
 			return true
 		}
 	}
@@ -84,7 +89,7 @@
 // pushPeers sends the starts that awaitsPeerFetch has delayed until the task of the gang on a machine had
 // its image.
 func (cs *CommandSender) pushPeers(j *jobtable.Job, fetched *machinetable.Machine) {
-	if !j.Spec.IsGang() || !cs.mayOutlastGangWait(fetched, &j.Spec) {
+	if !j.Spec.IsGang() || !cs.mayOutlastGangWait(fetched, j) {
 		return
 	}
 	for _, p := range ordered.ByKey(j.Placements) {
@@ -111,6 +116,7 @@
 			slog.Info("image fetch takes too long", "job", ref.Job, "task", ref.Task, "machine", m.Name,
 				"image_gb", j.Spec.ImageGB)
 			j.AvoidMachine(m.Name)
+			j.OverdueFetches++
 			hm.commands.stopTask(j, ref.Task, stopFetchOverdue, "")
 		}
 	}
@@ -118,31 +124,89 @@
 
 // overdueFetches returns the placed tasks of gangs on a machine whose fetches are overdue, in a fixed order.
 func (hm *HealthMonitor) overdueFetches(m *machinetable.Machine) []machinetable.AttemptRef {
-	var overdue []machinetable.AttemptRef
+	fetching := hm.fetchingGangTasks(m)
+	if len(fetching) == 0 {
+		return nil
+	}
+	maxTime := hm.commands.maxFetchTime(m, hm.fetchingGB(m))
+	return slices.DeleteFunc(fetching, func(ref machinetable.AttemptRef) bool {
+		patience := maxTime << min(hm.jobs.ByID[ref.Job].OverdueFetches, maxPatienceDoublings)
+		return patience == 0 || hm.Now() <= hm.fetchingSince(m, ref)+patience+hm.commands.gangWait()
+	})
+}
+
+// fetchingGangTasks returns the placed tasks of gangs on a machine that fetch their images and aren't to
+// stop, in a fixed order.
+func (hm *HealthMonitor) fetchingGangTasks(m *machinetable.Machine) []machinetable.AttemptRef {
+	var fetching []machinetable.AttemptRef
 	for id, tasks := range m.Placements {
 		j := hm.jobs.ByID[id]
 		if j == nil || !j.Spec.IsGang() || j.MustNotRun() {
 			continue
 		}
 		for _, p := range tasks {
-			if _, stopping := j.Stops[p.Task]; !stopping && hm.fetchOverdue(j, p, m) {
-				overdue = append(overdue, j.AttemptOf(p))
+			_, stopping := j.Stops[p.Task]
+			if ref := j.AttemptOf(p); !stopping && m.Tasks[ref].Status == protocol.TaskFetching {
+				fetching = append(fetching, ref)
 			}
 		}
 	}
-	slices.SortFunc(overdue, machinetable.CompareAttempts)
-	return overdue
+	slices.SortFunc(fetching, machinetable.CompareAttempts)
+	return fetching
+}
+
+// fetchingSince returns when the start of a task was last sent, or the beginning of the term if that was
+// before it.
+func (hm *HealthMonitor) fetchingSince(m *machinetable.Machine, ref machinetable.AttemptRef) clock.Micros {
+	if d := m.Deliveries[ref]; d != nil {
+		return max(hm.BegunAt, d.StartSentAt)
+	}
+	return hm.BegunAt
+}
+
+// fetchingGB returns the total size of the images that a machine fetches, which share its bandwidth.
+func (hm *HealthMonitor) fetchingGB(m *machinetable.Machine) float64 {
+	sizes := map[string]float64{}
+	for ref, t := range m.Tasks {
+		if j := hm.jobs.ByID[ref.Job]; j != nil && t.Status == protocol.TaskFetching {
+			sizes[j.Spec.Image] = j.Spec.ImageGB
+		}
+	}
+	total := 0.0
+	for _, image := range slices.Sorted(maps.Keys(sizes)) {
+		total += sizes[image]
+	}
+	return total
 }
 
-// fetchOverdue reports whether a placed task of a gang has been fetching its image for far too long.
-func (hm *HealthMonitor) fetchOverdue(j *jobtable.Job, p jobrecord.Placement, m *machinetable.Machine) bool {
-	ref := j.AttemptOf(p)
-	if m.Tasks[ref].Status != protocol.TaskFetching {
+// Completable reports whether a gang that lost tasks hasn't started, so that replacements with the same
+// attempt number can complete it. The leader doesn't know the last state of a lost task, but if the gang
+// had started, the remaining tasks would be running, or would have exited because a peer was missing,
+// by the time the loss is proven.
+func (cs *CommandSender) Completable(j *jobtable.Job) bool {
+	if !j.Spec.IsGang() || len(j.Placements) == 0 || len(j.Stops) > 0 {
 		return false
 	}
-	since := hm.BegunAt
-	if d := m.Deliveries[ref]; d != nil {
-		since = max(since, d.StartSentAt)
+	attempt := protocol.Attempt(0)
+	for _, p := range j.Placements {
+		if p.Attempt <= j.BrokenAttempt || attempt != 0 && p.Attempt != attempt {
+			return false
+		}
+		if !cs.mayWaitForPeers(j, p) {
+			return false
+		}
+		attempt = p.Attempt
 	}
-	return hm.Now() > since+hm.commands.maxFetchTime(m, &j.Spec)+hm.commands.gangWait()
+	return true
+}
+
+// mayWaitForPeers reports whether a task of a gang hasn't started yet and is on a machine that keeps
+// running: one that renews its lease and that the cloud isn't about to reclaim.
+func (cs *CommandSender) mayWaitForPeers(j *jobtable.Job, p jobrecord.Placement) bool {
+	m := cs.machines.ByName[p.Machine]
+	if m == nil || !cs.machines.EpochAcknowledged(m) || !cs.machines.LeaseRenewed(m) || m.ReclaimAt != 0 {
+		return false
+	}
+	t, isListed := m.Tasks[j.AttemptOf(p)]
+	return !isListed || t.Status == protocol.TaskFetching || t.Status == protocol.TaskWaiting
 }
--- a/internal/simulation/gangimages_test.go
+++ b/internal/simulation/gangimages_test.go
@@ -126,3 +126,34 @@
 	d.Cloud.Capacity[scaling.CapacityPool{Type: "big", Zone: "a"}] = 1
 	mustStartInAttempt(t, w, d, gang, 3)
 }
+
+// A gang's small image takes long to fetch because its machine fetches a large one at the same time. The leader
+// must not give the machine up: the fetch only shares its bandwidth.
+func TestGangKeepsMachineThatFetchesOtherImages(t *testing.T) {
+	w, d, idle := deploymentWithIdleMachines()
+	array := arraySpec("job-000002", "open", 1, 8, 20)
+	array.Types, array.Zone, array.Spot, array.Image, array.ImageGB = []string{"big"}, "a", true, "large", 60
+	other := d.Submit(array, 20*clock.Second, false)
+	other.fetchTime = 300 * clock.Second
+	spec := slowGang()
+	spec.Cpus, spec.Image, spec.ImageGB = 20, "small", 1
+	gang := d.Submit(spec, 40*clock.Second, false)
+	gang.fetchTime = 3 * clock.Second
+	idle[0].images[spec.Image] = 250 * clock.Second
+	mustStartInAttempt(t, w, d, gang, 2)
+	if idle[0].ended {
+		t.Error("the machine was released, want it kept")
+	}
+}
+
+// Every machine takes far longer to fetch a gang's image than its rate promises. The leader must give each next
+// fetch more time, or the gang would never start.
+func TestGangStartsThoughAllFetchesTakeFarTooLong(t *testing.T) {
+	w, d, _ := deploymentWithIdleMachines()
+	spec := slowGang()
+	spec.ImageGB = 1
+	gang := d.Submit(spec, 40*clock.Second, false)
+	gang.fetchTime = 250 * clock.Second
+	runUntil(w, 3000*clock.Second, clock.Second, func() bool { return gang.finalStatus != "" })
+	mustBeDone(t, w, gang)
+}
