--- a/internal/admission/workerconnection.go
+++ b/internal/admission/workerconnection.go
@@ -13,8 +13,8 @@
 
 // Workers keep their connections open and send a heartbeat every few seconds; most requests to a leader
 // are heartbeats. For each request, http.Server watches the connection in the background, keeps two
-// buffers and a context and sets the deadlines four times, which took about half of a leader's processor
-// time. The handler of a worker's first heartbeat therefore hijacks the connection (http.Hijacker). A
+// buffers and a context and sets the deadlines four times, which is as much work as handling the heartbeat.
+// The handler of a worker's first heartbeat therefore hijacks the connection (http.Hijacker). A
 // workerConnection then reads the requests one after another with the parser of net/http and passes them
 // to the same handler.
 
--- a/internal/leader/machinetable/machine.go
+++ b/internal/leader/machinetable/machine.go
@@ -1,11 +1,8 @@
 package machinetable
 
 import (
-	"slices"
-
 	"postpoint/internal/clock"
 	"postpoint/internal/jobrecord"
-	"postpoint/internal/planner"
 	"postpoint/internal/protocol"
 	"postpoint/internal/scaling"
 )
@@ -58,113 +55,6 @@
 	return scaling.CapacityPool{Type: i.Type, Zone: i.Zone, Spot: i.Spot}
 }
 
-// WorkerStatus is the content of the worker's last heartbeat. The reconciler changes it.
-type WorkerStatus struct {
-	// HeartbeatAt is when the last heartbeat was received.
-	HeartbeatAt clock.Micros
-	// ReclaimAt is when the cloud reclaims the machine, 0 if it hasn't announced that.
-	ReclaimAt clock.Micros
-	// Tasks holds the listed tasks by attempt.
-	Tasks map[AttemptRef]protocol.TaskStatus
-	// listedTasks is the list from which SetTasks made Tasks.
-	listedTasks []protocol.TaskStatus
-	// RunningSince is when an attempt was first seen running.
-	RunningSince map[AttemptRef]clock.Micros
-	// PlacedTasksListed reports that the last heartbeat listed every placed task and none of them had exited:
-	// an identical heartbeat proves nothing new.
-	PlacedTasksListed bool
-	// HeartbeatReceived reports that a heartbeat was received in this term.
-	HeartbeatReceived bool
-	// ExitedTasks counts the exited tasks for which the worker only needs a command to forget them, as
-	// of the last heartbeat that changed anything. ForgetAt is the latest time for this command.
-	ExitedTasks int
-	ForgetAt    clock.Micros
-}
-
-// SetTasks replaces the tasks by those that a heartbeat lists, and forgets the running times of all
-// others.
-func (s *WorkerStatus) SetTasks(tasks []protocol.TaskStatus) {
-	clear(s.Tasks)
-	s.listedTasks, s.ExitedTasks = tasks, 0
-	for _, t := range tasks {
-		job, task, ok := protocol.ParseTask(t.Task)
-		if !ok {
-			continue
-		}
-		s.Tasks[AttemptRef{Job: job, Task: task, Attempt: t.Attempt}] = t
-	}
-	for ref := range s.RunningSince {
-		if _, listed := s.Tasks[ref]; !listed {
-			delete(s.RunningSince, ref)
-		}
-	}
-}
-
-// applyReclaimNotice updates ReclaimAt from a heartbeat that arrived now. remainingS is the time until the
-// cloud reclaims the machine as of when the worker sent the heartbeat, nil without a notice. The heartbeat
-// may have taken long, so the earliest result of all heartbeats since the notice is the most exact one.
-func (s *WorkerStatus) applyReclaimNotice(remainingS *float64, now clock.Micros) {
-	if remainingS == nil {
-		s.ReclaimAt = 0
-		return
-	}
-	at := now + clock.FromSeconds(*remainingS)
-	if s.ReclaimAt == 0 || at < s.ReclaimAt {
-		s.ReclaimAt = at
-	}
-}
-
-// RunsTasks reports whether any task runs on the machine, even one that is in no record.
-func (s *WorkerStatus) RunsTasks() bool {
-	for _, t := range s.Tasks {
-		if t.Status != protocol.TaskExited {
-			return true
-		}
-	}
-	return false
-}
-
-// SameTasks reports whether a heartbeat lists exactly the known tasks in their known states.
-func (s *WorkerStatus) SameTasks(tasks []protocol.TaskStatus) bool {
-	if len(tasks) != len(s.Tasks) {
-		return false
-	}
-	if len(tasks) == 0 || len(s.listedTasks) == len(tasks) && &s.listedTasks[0] == &tasks[0] {
-		return true // the same slice as in the last heartbeat: see protocol.HeartbeatDecoder
-	}
-	for _, t := range tasks {
-		job, task, ok := protocol.ParseTask(t.Task)
-		if !ok {
-			return false
-		}
-		known, listed := s.Tasks[AttemptRef{Job: job, Task: task, Attempt: t.Attempt}]
-		if !listed || known.Status != t.Status {
-			return false
-		}
-	}
-	return true
-}
-
-// HeartbeatNumber orders the heartbeats of a machine in the order in which the worker sent them, even
-// if they arrive late.
-type HeartbeatNumber struct {
-	// Incarnation rises each time the worker begins a new lease after it lost one.
-	Incarnation protocol.Incarnation
-	// Counter rises with each heartbeat.
-	Counter int64
-}
-
-// NumberOf returns the number of a heartbeat.
-func NumberOf(heartbeat *protocol.Heartbeat) HeartbeatNumber {
-	return HeartbeatNumber{Incarnation: heartbeat.Incarnation, Counter: heartbeat.Counter}
-}
-
-// After reports whether a heartbeat was sent later than another one.
-func (n HeartbeatNumber) After(other HeartbeatNumber) bool {
-	return n.Incarnation > other.Incarnation || n.Incarnation == other.Incarnation &&
-		n.Counter > other.Counter
-}
-
 // IncarnationState is the worker's current incarnation and the highest epoch that it has
 // acknowledged. The reconciler changes it.
 type IncarnationState struct {
@@ -273,55 +163,6 @@
 	return ok && placement.Attempt == ref.Attempt
 }
 
-// PlannerView is the machine as the planner's input describes it. Package snapshots rebuilds it
-// when ViewStale is set, and every change of its inputs sets ViewStale.
-type PlannerView struct {
-	View      planner.Machine
-	ViewStale bool
-	// Unrecognized reports that the machine runs a task of unknown size.
-	Unrecognized bool
-	// Images is the estimated image cache, the most recently used image first.
-	Images []image
-	// PullGB is the amount of images that the machine still had to fetch at pulledAt.
-	PullGB   float64
-	pulledAt clock.Micros
-}
-
-// image is a container image that is likely to be in the machine's cache.
-type image struct {
-	Name   string
-	sizeGB float64
-}
-
-// HasImage reports whether an image is likely to be in the machine's cache.
-func (v *PlannerView) HasImage(name string) bool {
-	return slices.ContainsFunc(v.Images, func(i image) bool { return i.Name == name })
-}
-
-// addCachedImage moves an image to the front of the estimated cache, which holds the most recently used
-// images up to the cache's size.
-func (v *PlannerView) addCachedImage(name string, sizeGB, cacheGB float64) {
-	images := []image{{name, sizeGB}}
-	used := sizeGB
-	for _, i := range v.Images {
-		if i.Name != name && used+i.sizeGB <= cacheGB {
-			used += i.sizeGB
-			images = append(images, i)
-		}
-	}
-	v.Images = images
-	v.ViewStale = true
-}
-
-// AdvancePulls subtracts from PullGB the amount that the machine has fetched since the last call.
-func (v *PlannerView) AdvancePulls(now clock.Micros, t protocol.MachineType) {
-	if len(v.View.PullingImages) == 0 {
-		v.PullGB = 0
-	}
-	v.PullGB = max(0, v.PullGB-(now-v.pulledAt).Seconds()*t.FetchGBPerS)
-	v.pulledAt = now
-}
-
 // Performance is how fast tasks run on the machine. Package objectives changes it.
 type Performance struct {
 	// RelativeRunTime is the average ratio of tasks' run times to the averages of their classes.
