--- a/internal/leader/machinetable/machine.go
+++ b/internal/leader/machinetable/machine.go
@@ -86,8 +86,12 @@
 }
 
 // BeginIncarnation records that the worker has begun a later incarnation. The worker then holds no
-// tasks of earlier incarnations, and commands that were sent to them have no effect.
+// tasks of earlier incarnations, and commands that were sent to them have no effect, unless the worker
+// numbers its incarnations anew.
 func (m *Machine) BeginIncarnation(incarnation protocol.Incarnation, now clock.Micros) {
+	for _, d := range m.Deliveries {
+		m.StaleToken = max(m.StaleToken, d.DirectToken)
+	}
 	clear(m.Deliveries)
 	clear(m.RunningSince)
 	m.LeaseExpired = false
@@ -117,6 +121,9 @@
 	// RaisedToken is the fencing token of the messages to the worker if it was raised above the epoch,
 	// else 0.
 	RaisedToken protocol.Epoch
+	// StaleToken is the highest fencing token of a direct command with a start that the worker may no
+	// longer recognise: it has forgotten the attempt, or the start was for an earlier incarnation.
+	StaleToken protocol.Epoch
 	// CommandInFlight reports that a direct command has no response yet.
 	CommandInFlight bool
 	// PushPending reports that another direct command has to follow that response.
--- a/internal/leader/reconciler/forgets.go
+++ b/internal/leader/reconciler/forgets.go
@@ -58,9 +58,7 @@
 	if !set.add(commandFor(protocol.VerbForget, ref)) {
 		return
 	}
-	if set.m.DirectToken(ref) >= set.sender.machines.Token(set.m) {
-		set.m.RaisedToken = set.sender.LatestToken()
-	}
+	set.m.StaleToken = max(set.m.StaleToken, set.m.DirectToken(ref))
 }
 
 // unassignedTasks returns the tasks on a machine that aren't placed there, in a fixed order. It skips
--- a/internal/leader/reconciler/health.go
+++ b/internal/leader/reconciler/health.go
@@ -119,7 +119,10 @@
 	m.ChallengedAt = hm.Now()
 	lastNumber := m.HeartbeatNumber
 	hm.commands.Send(m, m.Incarnation, []protocol.Command{}, func(result CommandResult) {
-		if result.Heartbeat != nil && !machinetable.NumberOf(result.Heartbeat).After(lastNumber) {
+		if result.Heartbeat == nil {
+			return
+		}
+		if !machinetable.NumberOf(result.Heartbeat).After(lastNumber) || lowersToken(m, result.Heartbeat) {
 			hm.machines.ScheduleRelease(m, machinetable.ReleaseIncarnationReset)
 		}
 	})
--- a/internal/leader/reconciler/heartbeats.go
+++ b/internal/leader/reconciler/heartbeats.go
@@ -141,6 +141,7 @@
 	}
 	m.ClearInHeartbeat()
 	commands := hb.commands.CommandsFor(m, ViaHeartbeat)
+	hb.machines.RaiseToken(m)
 	m.RecordResponse(machinetable.NumberOf(&heartbeat), hb.Now())
 	return accepted, protocol.HeartbeatResponse{Epoch: hb.machines.Token(m), Commands: commands}
 }
@@ -162,6 +163,10 @@
 		hb.health.challenge(m)
 		return false
 	}
+	if heartbeat.Incarnation > m.Incarnation && lowersToken(m, heartbeat) {
+		hb.health.challenge(m)
+		return false
+	}
 	return heartbeat.Incarnation == m.Incarnation && !m.LeaseExpired && heartbeat.Epoch <= hb.LatestToken()
 }
 
--- a/internal/leader/reconciler/reconciler.go
+++ b/internal/leader/reconciler/reconciler.go
@@ -66,10 +66,17 @@
 }
 
 // outdated reports whether a heartbeat has arrived so late that it proves nothing any more: the worker
-// sent it no later than the last one, or before the machine's lease expired.
+// sent it no later than the last one, before it saw the token of the last one, or before the machine's lease
+// expired. The token decides where a worker has numbered its incarnations anew.
 func outdated(m *machinetable.Machine, heartbeat *protocol.Heartbeat) bool {
 	return m.HeartbeatReceived && !machinetable.NumberOf(heartbeat).After(m.HeartbeatNumber) ||
-		m.LeaseExpired && heartbeat.Incarnation <= m.Incarnation
+		lowersToken(m, heartbeat) || m.LeaseExpired && heartbeat.Incarnation <= m.Incarnation
+}
+
+// lowersToken reports whether a heartbeat shows a lower fencing token than an earlier one. Workers store the
+// highest token that they have seen, so that it is a late copy, or the worker has lost its state.
+func lowersToken(m *machinetable.Machine, heartbeat *protocol.Heartbeat) bool {
+	return m.HeartbeatReceived && heartbeat.Epoch < m.AcknowledgedEpoch
 }
 
 // handleIncarnation records which incarnation of the worker sent a heartbeat, before the rest of the
--- a/internal/leader/reconciler_test.go
+++ b/internal/leader/reconciler_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"net/http"
 	"testing"
 
 	"postpoint/internal/clock"
@@ -159,6 +160,29 @@
 	}
 }
 
+// A worker that has come back numbers its incarnations from one again. A late copy of a heartbeat from before
+// that looks like one of a later incarnation, but shows a lower token than the worker has acknowledged since.
+// The leader must not take it for proof that the tasks of the present incarnation are gone.
+func TestHeartbeatsWithLowerTokensAreIgnored(t *testing.T) {
+	l, j, m, mailbox := leaderWithOneTask(t)
+	running := firstTaskStatus(protocol.TaskRunning, "")
+	l.Heartbeat(workerHeartbeat(1, 1, running), func(int, any) {})
+	late := workerHeartbeat(3, 1)
+	late.Epoch = 6
+	status := 0
+	l.Heartbeat(late, func(s int, _ any) { status = s })
+	if len(j.Placements) != 1 || m.Incarnation != 1 || status != http.StatusMisdirectedRequest {
+		t.Fatalf("%d placements, incarnation %d, status %d; want 1, 1 and a redirect", len(j.Placements),
+			m.Incarnation, status)
+	}
+	mailbox.Now += clock.Second
+	keepLeading(l, mailbox)
+	l.Heartbeat(workerHeartbeat(1, 2, running), func(s int, _ any) { status = s })
+	if status != http.StatusOK {
+		t.Fatalf("status %d for the next heartbeat, want 200", status)
+	}
+}
+
 // The first heartbeat that a new leader receives from a machine may be a delayed copy of an old one. The
 // tasks that it lacks may run, so the leader releases no placement for it and places no tasks on the
 // machine: only a heartbeat with the leader's epoch is certainly recent.
