One check for free room, for raising a token, and for required stops

A machine to be added repeated the planner's check of free capacity and of room in the heartbeat; it holds a planner.Machine now. Whether a token can rise was written twice, in RaiseToken and canFence. The stops without which a lease must not be renewed were separated by asking about each task twice, at two times.

The reference of the scale-out test uses the same machine; its assertions are as before.

--- a/internal/leader/machinetable/machinetable.go
+++ b/internal/leader/machinetable/machinetable.go
@@ -332,14 +332,19 @@
 func (mt *Table) Token(m *Machine) protocol.Epoch { return max(mt.Term.Epoch, m.RaisedToken) }
 
 // RaiseToken raises the token of messages to a machine's worker if late copies of starts may run again
-// otherwise. It doesn't while a direct command is on its way, since the worker would reject that command.
+// otherwise.
 func (mt *Table) RaiseToken(m *Machine) {
-	latest := mt.LatestToken()
-	if m.StaleToken >= mt.Token(m) && m.StaleToken < latest && !m.CommandInFlight {
-		m.RaisedToken = latest
+	if m.StaleToken >= mt.Token(m) && mt.CanRaiseToken(m) {
+		m.RaisedToken = mt.LatestToken()
 	}
 }
 
+// CanRaiseToken reports whether the token of messages to a machine's worker can rise. It doesn't while a direct
+// command is on its way, since the worker would reject that command.
+func (mt *Table) CanRaiseToken(m *Machine) bool {
+	return mt.Token(m) < mt.LatestToken() && !m.CommandInFlight
+}
+
 // ProvenEmptyAt returns when every lease that could keep a machine's tasks alive has expired: those
 // that this controller renewed by its own responses, those that an earlier leader may have renewed until
 // the end of its renewal window, and the one with which an incarnation begins, without a response,
--- a/internal/leader/reconciler/commandset.go
+++ b/internal/leader/reconciler/commandset.go
@@ -162,20 +162,20 @@
 // the leader's lease it returns only the tasks that must end within a time limit.
 func (cs *CommandSender) tasksThatMustNotRun(m *machinetable.Machine) []machinetable.AttemptRef {
 	leads := cs.Leads()
-	var remaining []machinetable.AttemptRef
+	var required, others []machinetable.AttemptRef
 	for ref, t := range m.Tasks {
 		j := cs.jobs.ByID[ref.Job]
-		if j != nil && t.Status != protocol.TaskExited && (j.MustEnd() || leads && j.Final()) {
-			remaining = append(remaining, ref)
+		switch {
+		case j == nil || t.Status == protocol.TaskExited || !j.MustEnd() && !(leads && j.Final()):
+		case cs.renewalRequiresStop(j):
+			required = append(required, ref)
+		default:
+			others = append(others, ref)
 		}
 	}
-	slices.SortFunc(remaining, machinetable.CompareAttempts)
-	required := func(ref machinetable.AttemptRef) bool {
-		return cs.renewalRequiresStop(cs.jobs.ByID[ref.Job])
-	}
-	rest := slices.DeleteFunc(slices.Clone(remaining), required)
-	remaining = slices.DeleteFunc(remaining, func(ref machinetable.AttemptRef) bool { return !required(ref) })
-	return append(remaining, rest...)
+	slices.SortFunc(required, machinetable.CompareAttempts)
+	slices.SortFunc(others, machinetable.CompareAttempts)
+	return append(required, others...)
 }
 
 // commandFor returns a command without a grace period.
--- a/internal/leader/reconciler/forgets.go
+++ b/internal/leader/reconciler/forgets.go
@@ -90,6 +90,5 @@
 // command with a start of an attempt. The token isn't raised while a direct command is on its way, since
 // the worker would reject the command.
 func (cs *CommandSender) canFence(m *machinetable.Machine, ref machinetable.AttemptRef) bool {
-	direct := m.DirectToken(ref)
-	return direct < cs.machines.Token(m) || direct < cs.LatestToken() && !m.CommandInFlight
+	return m.DirectToken(ref) < cs.machines.Token(m) || cs.machines.CanRaiseToken(m)
 }
--- a/internal/planner/assign.go
+++ b/internal/planner/assign.go
@@ -89,7 +89,7 @@
 // team's quota.
 func (p *planning) assign(job *Job, task int, machine *Machine, team *Team) {
 	request := TaskResources(job.Spec)
-	machine.take(job.Spec)
+	machine.Take(job.Spec)
 	if team != nil {
 		team.Used = team.Used.Plus(request)
 	}
--- a/internal/planner/constraints.go
+++ b/internal/planner/constraints.go
@@ -46,7 +46,7 @@
 	var machines []*Machine
 	for i := range p.machines {
 		machine := &p.machines[i]
-		if machine.fits(job.Spec) && !(machine.Booting && ready == readyNow) && job.accepts(machine) {
+		if machine.Fits(job.Spec) && !(machine.Booting && ready == readyNow) && job.accepts(machine) {
 			machines = append(machines, machine)
 		}
 	}
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -55,7 +55,7 @@
 		}
 		cost += available.cheapestCost()
 		freeBefore = append(freeBefore, machine.Free)
-		machine.take(job.Spec)
+		machine.Take(job.Spec)
 		zones[machine.Zone]++
 		machines = append(machines, machine)
 		available.updateCheapest()
@@ -100,7 +100,7 @@
 // rest of the plan.
 func (p *planning) reserveOnMachines(job *Job, machines []*Machine) {
 	for _, machine := range machines {
-		machine.take(job.Spec)
+		machine.Take(job.Spec)
 	}
 }
 
--- a/internal/planner/machine.go
+++ b/internal/planner/machine.go
@@ -48,9 +48,9 @@
 	Slowdown float64
 }
 
-// fits reports whether the machine has free capacity for one more task of a job, and its worker's
+// Fits reports whether the machine has free capacity for one more task of a job, and its worker's
 // heartbeat has room for the task's status.
-func (m *Machine) fits(s *protocol.JobSpec) bool {
+func (m *Machine) Fits(s *protocol.JobSpec) bool {
 	return TaskResources(s).FitsIn(m.Free) && m.StatusBytes+s.StatusBytes() <= protocol.MaxStatusListBytes
 }
 
@@ -67,13 +67,13 @@
 // statusesIn returns how many statuses of tasks of a job fit into a part of a heartbeat.
 func statusesIn(listBytes int, s *protocol.JobSpec) int { return max(0, listBytes) / s.StatusBytes() }
 
-// take subtracts one task of a job from what is free on the machine.
-func (m *Machine) take(s *protocol.JobSpec) {
+// Take subtracts one task of a job from what is free on the machine.
+func (m *Machine) Take(s *protocol.JobSpec) {
 	m.Free = m.Free.Minus(TaskResources(s))
 	m.StatusBytes += s.StatusBytes()
 }
 
-// release undoes take, except for rounding.
+// release undoes Take, except for rounding.
 func (m *Machine) release(s *protocol.JobSpec) {
 	m.Free = m.Free.Plus(TaskResources(s))
 	m.StatusBytes -= s.StatusBytes()
--- a/internal/planner/machineheap.go
+++ b/internal/planner/machineheap.go
@@ -49,7 +49,7 @@
 // machine.
 func (h *machineHeap) updateCheapest() {
 	first := &h.entries[0]
-	if !first.machine.fits(h.job.Spec) {
+	if !first.machine.Fits(h.job.Spec) {
 		heap.Pop(h)
 		return
 	}
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -82,7 +82,7 @@
 func (p *planning) undoRelease(victims []victim) {
 	for _, v := range victims {
 		if machine := p.byName[v.run.Machine]; machine != nil {
-			machine.take(v.job.Spec)
+			machine.Take(v.job.Spec)
 		}
 	}
 }
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -48,7 +48,7 @@
 	for _, placement := range yielded {
 		reserve, machine := reserves[placement.Job], p.byName[placement.Machine]
 		team := p.teams[reserve.Spec.Team]
-		if machine.fits(reserve.Spec) && team.withinLimit(TaskResources(reserve.Spec), 1) {
+		if machine.Fits(reserve.Spec) && team.withinLimit(TaskResources(reserve.Spec), 1) {
 			p.assign(reserve, placement.Task, machine, team)
 		} else {
 			p.addUnmet(reserve)
--- a/internal/scaling/scaleout.go
+++ b/internal/scaling/scaleout.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"postpoint/internal/planner"
-	"postpoint/internal/protocol"
 )
 
 // maxMachinesPerDecision bounds the work of one decision. It is a quarter of the largest supported
@@ -42,9 +41,8 @@
 // newMachine is a machine to add.
 type newMachine struct {
 	pool CapacityPool
-	free planner.Resources
-	// statusBytes is how much of its worker's heartbeat the tasks that it will hold take.
-	statusBytes int
+	// machine holds the tasks that the machine is added for.
+	machine planner.Machine
 }
 
 // newScaleOut returns the initial state of a ScaleOut call. It copies the unmet demand, which the
@@ -57,21 +55,19 @@
 // addMachinesFor places the unmet tasks of a job on machines that this call added before, and adds
 // machines for those that don't fit there.
 func (s *scaleOut) addMachinesFor(demand *planner.UnmetDemand) {
-	request := planner.TaskResources(demand.Job.Spec)
 	zones := demand.Job.TasksByZone()
 	// No machine before this index can take another task of this job: free capacity never grows,
 	// and an excluded zone stays excluded.
 	at := 0
 	for demand.Tasks > 0 {
-		for at < len(s.machines) && !s.machines[at].takes(demand.Job, request, zones) {
+		for at < len(s.machines) && !s.machines[at].takes(demand.Job, zones) {
 			at++
 		}
 		if at == len(s.machines) && !s.addMachine(demand, zones) {
 			break
 		}
 		chosen := s.machines[at]
-		chosen.free = chosen.free.Minus(request)
-		chosen.statusBytes += demand.Job.Spec.StatusBytes()
+		chosen.machine.Take(demand.Job.Spec)
 		zones[chosen.pool.Zone]++
 		demand.Tasks--
 		s.urgent.taskPlaced()
@@ -79,10 +75,14 @@
 	s.urgent.subtractPlaced(demand.Job)
 }
 
+// emptyMachine returns a machine of a pool without tasks.
+func (view *CloudView) emptyMachine(pool CapacityPool) *newMachine {
+	return &newMachine{pool: pool, machine: planner.Machine{Free: Capacity(view.Types[pool.Type])}}
+}
+
 // takes reports whether one more task of a job may go to the machine.
-func (n *newMachine) takes(job *planner.Job, request planner.Resources, zones map[string]int) bool {
-	return request.FitsIn(n.free) &&
-		n.statusBytes+job.Spec.StatusBytes() <= protocol.MaxStatusListBytes &&
+func (n *newMachine) takes(job *planner.Job, zones map[string]int) bool {
+	return n.machine.Fits(job.Spec) &&
 		planner.MachineAllowed(job.Spec, n.pool.Type, n.pool.Zone, n.pool.Spot) &&
 		planner.ZoneAllowed(job.Spec, zones, n.pool.Zone)
 }
@@ -95,7 +95,7 @@
 	}
 	pool, found := s.choosePool(demand, zones)
 	if found {
-		s.machines = append(s.machines, &newMachine{pool: pool, free: Capacity(s.cloud.Types[pool.Type])})
+		s.machines = append(s.machines, s.cloud.emptyMachine(pool))
 	}
 	return found
 }
--- a/internal/scaling/scaleout_test.go
+++ b/internal/scaling/scaleout_test.go
@@ -16,24 +16,22 @@
 	var machines []newMachine
 	for i := range unmet {
 		demand := &unmet[i]
-		request, zones := planner.TaskResources(demand.Job.Spec), map[string]int{}
+		zones := map[string]int{}
 		for _, r := range demand.Job.Running {
 			zones[r.Zone]++
 		}
 		for demand.Tasks > 0 && !demand.Job.BackingOff {
 			at := slices.IndexFunc(machines, func(n newMachine) bool {
-				return n.takes(demand.Job, request, zones)
+				return n.takes(demand.Job, zones)
 			})
 			if at < 0 {
 				pool, ok := referencePool(view, demand, zones, unmet)
 				if !ok || len(machines) == maxMachinesPerDecision {
 					break
 				}
-				at, machines = len(machines), append(machines,
-					newMachine{pool: pool, free: Capacity(view.Types[pool.Type])})
+				at, machines = len(machines), append(machines, *view.emptyMachine(pool))
 			}
-			machines[at].free = machines[at].free.Minus(request)
-			machines[at].statusBytes += demand.Job.Spec.StatusBytes()
+			machines[at].machine.Take(demand.Job.Spec)
 			zones[machines[at].pool.Zone]++
 			demand.Tasks--
 		}
