--- a/internal/leader/machinetable/machinetable.go
+++ b/internal/leader/machinetable/machinetable.go
@@ -339,8 +339,8 @@
 	}
 }
 
-// CanRaiseToken reports whether the token of messages to a machine's worker can rise. It doesn't while a direct
-// command is on its way, since the worker would reject that command.
+// CanRaiseToken reports whether the token of messages to a machine's worker can rise. It doesn't while a
+// direct command is on its way, since the worker would reject that command.
 func (mt *Table) CanRaiseToken(m *Machine) bool {
 	return mt.Token(m) < mt.LatestToken() && !m.CommandInFlight
 }
